--- /dev/null
+++ b/packages/gateway/src/call.ts
@@ -0,0 +1,53 @@
+import type { ServerResponse } from 'node:http';
+import type { Clock, Random } from '@zinniagrade/clock';
+import type { Failure } from '@zinniagrade/errors';
+import type {
+  ClientAccount,
+  FleetMember,
+  RetryBudget,
+  Route,
+  Service,
+} from '@zinniagrade/serving';
+import type { CallerRequest } from './caller-request.js';
+import type { Log } from './log.js';
+import type { Metrics } from './metrics.js';
+import type { UpstreamClient } from './upstream-client.js';
+import type { View } from './view.js';
+
+/** What serving a request needs of the process. */
+export interface ServingContext {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly view: View;
+  readonly client: UpstreamClient;
+  readonly retryBudget: (service: string) => RetryBudget;
+  readonly nodeCount: () => number;
+  /** Whether traffic of its service may go to this upstream's version. */
+  readonly allowsVersion: (member: FleetMember) => boolean;
+  /** Time left until this process ends, while it is leaving. */
+  readonly leavesInMs: () => number | undefined;
+}
+
+/** A request with a route, read whole, whose caller is waiting. */
+export interface Call {
+  readonly request: CallerRequest;
+  readonly body: Buffer;
+  readonly response: ServerResponse;
+  readonly route: Route;
+  readonly service: Service;
+  readonly account?: ClientAccount;
+  readonly arrivedAtMs: number;
+  /** When the caller stops waiting. */
+  readonly callerEndsAtMs: number;
+  /** When the answer is due: the caller's end or the route's timeout, whichever is first. */
+  readonly endsAtMs: number;
+  /** Ends the call with a failure of the gateway. Only the first end counts. */
+  readonly fail: (failure: Failure) => void;
+  /** Notes that the answer was passed on. */
+  readonly finish: (outcome: string) => void;
+  readonly isOver: () => boolean;
+  /** Called once when the call is over, for whatever reason. */
+  readonly onOver: (listener: () => void) => void;
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,7 @@
+export type * from './caller-request.js';
+export * from './gateway.js';
+export * from './log.js';
+export type * from './metadata-store.js';
+export type * from './settings.js';
+export type * from './upstream-client.js';
+export * from './view.js';
--- /dev/null
+++ b/packages/gateway/src/metrics.ts
@@ -0,0 +1,93 @@
+import { createServer, type Server } from 'node:http';
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+/** Counters and latencies of a process, served as text at the metrics address. */
+export interface Metrics {
+  readonly answered: (route: string, outcome: string, durationMs: number) => void;
+  readonly firstEvent: (route: string, durationMs: number) => void;
+  readonly moved: (outcome: string, pauseMs: number) => void;
+  readonly count: (name: string) => void;
+  readonly openRequests: (by: number) => void;
+  readonly text: () => Promise<string>;
+}
+
+/** Upper bounds of the latency histograms, in milliseconds. */
+const latencyBuckets = [5, 20, 50, 100, 200, 400, 800, 1500, 3000, 6000, 12_000, 40_000];
+const pauseBuckets = [10, 30, 60, 100, 180, 300, 600, 1200, 2500];
+
+export const Metrics = {
+  create: (): Metrics => {
+    const registry = new Registry();
+    const registers = [registry];
+    const answers = new Counter({
+      name: 'zinniagrade_answers_total',
+      help: 'Final answers by route and outcome.',
+      labelNames: ['route', 'outcome'],
+      registers,
+    });
+    const durations = new Histogram({
+      name: 'zinniagrade_answer_duration_ms',
+      help: 'Time from the arrival of a request to the end of its answer.',
+      labelNames: ['route'],
+      buckets: latencyBuckets,
+      registers,
+    });
+    const firstEvents = new Histogram({
+      name: 'zinniagrade_first_event_ms',
+      help: 'Time from the arrival of a request to the first event of its stream.',
+      labelNames: ['route'],
+      buckets: latencyBuckets,
+      registers,
+    });
+    const moves = new Histogram({
+      name: 'zinniagrade_move_pause_ms',
+      help: 'Pause of a stream that was moved to another engine.',
+      labelNames: ['outcome'],
+      buckets: pauseBuckets,
+      registers,
+    });
+    const counts = new Counter({
+      name: 'zinniagrade_decisions_total',
+      help: 'Decisions by kind.',
+      labelNames: ['kind'],
+      registers,
+    });
+    const open = new Gauge({
+      name: 'zinniagrade_open_requests',
+      help: 'Requests that are being served.',
+      registers,
+    });
+    return {
+      answered: (route, outcome, durationMs) => {
+        answers.inc({ route, outcome });
+        durations.observe({ route }, durationMs);
+      },
+      firstEvent: (route, durationMs) => {
+        firstEvents.observe({ route }, durationMs);
+      },
+      moved: (outcome, pauseMs) => {
+        moves.observe({ outcome }, pauseMs);
+      },
+      count: (kind) => {
+        counts.inc({ kind });
+      },
+      openRequests: (by) => {
+        open.inc(by);
+      },
+      text: () => registry.metrics(),
+    };
+  },
+};
+
+/** Serves the metrics at every path. */
+export const createMetricsServer = (metrics: Metrics): Server =>
+  createServer((_request, response) => {
+    metrics.text().then(
+      (text) => {
+        response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
+      },
+      (error: unknown) => {
+        response.writeHead(500).end(String(error));
+      },
+    );
+  });
--- /dev/null
+++ b/packages/gateway/src/view.ts
@@ -0,0 +1,185 @@
+import { Fleet, RouteTable, type Configuration, type Upstream } from '@zinniagrade/serving';
+import type { Log } from './log.js';
+
+/** Another node, as it registered itself. */
+export interface NodeEntry {
+  readonly node: string;
+  readonly dataCentre: string;
+  /** Address for callers, as IP:PORT. */
+  readonly callerAddress: string;
+  /** Address for other nodes, as IP:PORT. */
+  readonly nodeAddress?: string;
+  readonly leaving: boolean;
+}
+
+/** An order to move the traffic of a service to another version. */
+export interface Rollout {
+  readonly service: string;
+  readonly target: string;
+  readonly durationMs: number;
+}
+
+export type RolloutState = 'running' | 'completed' | 'rolled-back';
+
+export interface RolloutStatus {
+  readonly service: string;
+  readonly target: string;
+  readonly state: RolloutState;
+}
+
+/** What a change of one key in the store means. Entries that can't be read are `unreadable`. */
+export type Change =
+  | { readonly kind: 'configuration'; readonly configuration: Configuration }
+  | { readonly kind: 'upstream'; readonly id: string; readonly upstream: Upstream | undefined }
+  | { readonly kind: 'withdrawal'; readonly dataCentre: string; readonly withdrawn: boolean }
+  | { readonly kind: 'rollout'; readonly service: string; readonly rollout: Rollout | undefined }
+  | { readonly kind: 'node'; readonly node: string; readonly entry: NodeEntry | undefined }
+  | {
+      readonly kind: 'rollout-status';
+      readonly service: string;
+      readonly status: RolloutStatus | undefined;
+    }
+  | { readonly kind: 'unreadable'; readonly reason: string }
+  | { readonly kind: 'other' };
+
+/** What this node believes, as the store told it. */
+export interface View {
+  readonly fleet: Fleet;
+  readonly nodes: ReadonlyMap<string, NodeEntry>;
+  readonly withdrawn: ReadonlySet<string>;
+  readonly rollouts: ReadonlyMap<string, Rollout>;
+  readonly rolloutStatuses: ReadonlyMap<string, RolloutStatus>;
+  readonly configuration: () => Configuration | undefined;
+  readonly routes: () => RouteTable | undefined;
+  readonly apply: (change: Change, revision: number, nowMs: number) => void;
+  /** Called after each change that the data path may act on. */
+  readonly onChange: (listener: (change: Change) => void) => void;
+}
+
+export const View = {
+  create: (log: Log): View => {
+    const fleet = Fleet.create();
+    const nodes = new Map<string, NodeEntry>();
+    const withdrawn = new Set<string>();
+    const rollouts = new Map<string, Rollout>();
+    const rolloutStatuses = new Map<string, RolloutStatus>();
+    const listeners: ((change: Change) => void)[] = [];
+    let configuration: Configuration | undefined;
+    let routes: RouteTable | undefined;
+
+    const setOrDelete = <Value>(
+      map: Map<string, Value>,
+      key: string,
+      value: Value | undefined,
+    ): void => {
+      if (value === undefined) {
+        map.delete(key);
+      } else {
+        map.set(key, value);
+      }
+    };
+
+    const applyConfiguration = (next: Configuration, revision: number): void => {
+      if (configuration !== undefined && next.version < configuration.version) {
+        log.event('configuration ignored', { version: next.version, revision, reason: 'older' });
+        return;
+      }
+      configuration = next;
+      routes = RouteTable.create(next);
+      log.event('configuration in force', {
+        version: next.version,
+        revision,
+        routes: next.routes.length,
+      });
+    };
+
+    const applyUpstream = (
+      id: string,
+      upstream: Upstream | undefined,
+      revision: number,
+      nowMs: number,
+    ): void => {
+      const before = fleet.members.get(id)?.upstream.state;
+      if (upstream === undefined) {
+        fleet.remove(id, nowMs);
+      } else {
+        fleet.register(upstream, nowMs);
+      }
+      const state = upstream?.state ?? 'gone';
+      if (before !== state) {
+        log.event('upstream state', {
+          upstream: id,
+          service: upstream?.service,
+          state,
+          before,
+          revision,
+        });
+      }
+    };
+
+    const apply = (change: Change, revision: number, nowMs: number): void => {
+      switch (change.kind) {
+        case 'configuration':
+          applyConfiguration(change.configuration, revision);
+          break;
+        case 'upstream':
+          applyUpstream(change.id, change.upstream, revision, nowMs);
+          break;
+        case 'withdrawal':
+          if (change.withdrawn) {
+            withdrawn.add(change.dataCentre);
+          } else {
+            withdrawn.delete(change.dataCentre);
+          }
+          log.event('data centre withdrawal', {
+            dataCentre: change.dataCentre,
+            withdrawn: change.withdrawn,
+            revision,
+          });
+          break;
+        case 'rollout':
+          setOrDelete(rollouts, change.service, change.rollout);
+          log.event('rollout order', {
+            service: change.service,
+            target: change.rollout?.target,
+            revision,
+          });
+          break;
+        case 'rollout-status':
+          setOrDelete(rolloutStatuses, change.service, change.status);
+          break;
+        case 'node':
+          setOrDelete(nodes, change.node, change.entry);
+          log.event('node registration', {
+            of: change.node,
+            state:
+              change.entry === undefined ? 'gone' : change.entry.leaving ? 'leaving' : 'serving',
+            revision,
+          });
+          break;
+        case 'unreadable':
+          log.event('store entry unreadable', { reason: change.reason, revision });
+          return;
+        case 'other':
+          return;
+      }
+      for (const listener of listeners) {
+        listener(change);
+      }
+    };
+
+    return {
+      fleet,
+      nodes,
+      withdrawn,
+      rollouts,
+      rolloutStatuses,
+      configuration: () => configuration,
+      routes: () => routes,
+      apply,
+      onChange: (listener) => {
+        listeners.push(listener);
+      },
+    };
+  },
+};
