Let nodes tell each other what they have at engines, and share load reports

Cause: reports are about 0.5 s old, so all nodes sent to the same newly started engine at once; 39 of 114+160 streams got their first event late.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -7,6 +7,7 @@
   RetryBudget,
   Route,
   Service,
+  UpstreamUse,
 } from '@zinniagrade/serving';
 import type { CallerRequest } from './caller-request.js';
 import type { Log } from './log.js';
@@ -26,6 +27,10 @@
   readonly nodeCount: () => number;
   /** Whether traffic of its service may go to this upstream's version. */
   readonly allowsVersion: (member: FleetMember) => boolean;
+  /** What the other nodes have at an upstream. */
+  readonly peerUse: (upstream: string) => UpstreamUse;
+  /** Called after this node's requests at upstreams have changed. */
+  readonly useChanged: () => void;
   /** Time left until this process ends, while it is leaving. */
   readonly leavesInMs: () => number | undefined;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,13 +1,16 @@
+import { randomBytes } from 'node:crypto';
 import { createServer, type Server } from 'node:http';
 import { Random, type Clock } from '@zinniagrade/clock';
 import { RetryBudget, type Route } from '@zinniagrade/serving';
 import type { ServingContext } from './call.js';
 import type { ReadCallerRequest } from './caller-request.js';
+import { chooseAddresses, createDirectoryServer } from './directory.js';
 import { Front } from './front.js';
 import { LoadPolling } from './load-polling.js';
 import type { Log } from './log.js';
 import type { MetadataStore } from './metadata-store.js';
 import { createMetricsServer, Metrics } from './metrics.js';
+import { NodePeers } from './node-peers.js';
 import { OpenStream } from './open-stream.js';
 import { Registration } from './registration.js';
 import { serveCall } from './serve-call.js';
@@ -25,8 +28,10 @@
   readonly readCallerRequest: ReadCallerRequest;
   /** The meaning of a key's value; without a value the key was removed. */
   readonly readChange: (key: string, value: Buffer | undefined) => Change;
-  /** Prefixes of the store that hold what a node must know. */
-  readonly prefixes: readonly string[];
+  /** Prefix of all keys of the store that a node must know. */
+  readonly prefix: string;
+  /** Key of the secret by which nodes know each other. */
+  readonly linkSecretKey: string;
   readonly returnsAfterOutage: (key: string) => boolean;
   readonly nodeKey: (node: string) => string;
   readonly writeNode: (entry: NodeEntry) => Buffer;
@@ -58,14 +63,21 @@
 /** A plain request ends within this time of a leaving node, or is refused. */
 const shortRequestMs = 1000;
 const sweepIntervalMs = 1000;
+/** Time from the first state to open links with all nodes. */
+const linksSettleMs = 2500;
+/** Nodes start together; one of them writes the secret and the others read it. */
+const secretSpreadMs = 300;
+const secretBytes = 16;
 
 export const Gateway = {
   create: async (platform: Platform, clock: Clock, log: Log): Promise<Gateway> => {
-    const { settings } = platform;
+    const { settings, store } = platform;
     const metrics = Metrics.create();
     const view = View.create(log);
+    const random = Random.create(randomBytes(4).readInt32LE());
     const budgets = new Map<string, RetryBudget>();
     let leavingSinceMs: number | undefined;
+    let completeAtMs: number | undefined;
 
     const budgetOf = (service: string): RetryBudget => {
       const known = budgets.get(service);
@@ -82,9 +94,28 @@
         ? undefined
         : Math.max(0, leavingSinceMs + settings.graceMs - lastMomentMs - clock.monotonicMs());
 
+    const peers: NodePeers = NodePeers.create(clock, log, view, {
+      node: settings.node,
+      address: settings.listen.nodes,
+      mirror: () => mirror,
+      onLoad: (upstream, load, readAtMs) => {
+        polling.take(upstream, load, readAtMs);
+      },
+    });
+
+    const mirror: StoreMirror = StoreMirror.create(store, clock, log, {
+      prefix: platform.prefix,
+      returnsAfterOutage: platform.returnsAfterOutage,
+      registrationReturnMs: settings.registrationReturnMs,
+      onChange: (key, value, revision) => {
+        view.apply(platform.readChange(key, value), revision, clock.monotonicMs());
+      },
+      whileLost: peers.pull,
+    });
+
     const context: ServingContext = {
       clock,
-      random: Random.create(Date.now() ^ process.pid),
+      random,
       log,
       metrics,
       view,
@@ -92,10 +123,21 @@
       retryBudget: budgetOf,
       nodeCount: () => Math.max(1, view.nodes.size),
       allowsVersion: () => true,
+      peerUse: peers.peerUse,
+      useChanged: peers.useChanged,
       leavesInMs,
     };
 
     const moves = StreamMoves.create(context);
+    const polling: LoadPolling = LoadPolling.create(context, {
+      reads: peers.readsLoadOf,
+      share: peers.shareLoad,
+      onLoad: (member) => {
+        if (member.leaving) {
+          moves.check();
+        }
+      },
+    });
     const expectedMs = (route: Route): number =>
       route.kind === 'streaming' ? Math.max(shortRequestMs, route.timeoutMs / 2) : shortRequestMs;
     const front = Front.create(context, {
@@ -115,50 +157,27 @@
     });
 
     view.onChange((change) => {
-      if (change.kind === 'configuration') {
-        front.configure(change.configuration);
-      }
-      if (change.kind === 'upstream') {
-        moves.check();
-      }
-    });
-    const polling = LoadPolling.create(context, (member) => {
-      if (member.leaving) {
-        moves.check();
-      }
-    });
-    const stopSweep = clock.every(sweepIntervalMs, () => {
-      view.fleet.sweep();
-      const addresses = new Set<string>();
-      for (const member of view.fleet.members.values()) {
-        addresses.add(member.upstream.address);
+      switch (change.kind) {
+        case 'configuration':
+          front.configure(change.configuration);
+          return;
+        case 'upstream':
+          moves.check();
+          return;
+        case 'link-secret':
+          peers.open(change.secret);
       }
-      platform.upstreams.retain(addresses);
     });
 
-    const mirrors = platform.prefixes.map((prefix) =>
-      StoreMirror.create(platform.store, clock, log, {
-        prefix,
-        returnsAfterOutage: platform.returnsAfterOutage,
-        registrationReturnMs: settings.registrationReturnMs,
-        onValue: (key, value, revision) => {
-          view.apply(platform.readChange(key, value), revision, clock.monotonicMs());
-        },
-        onRemoval: (key, revision) => {
-          view.apply(platform.readChange(key, undefined), revision, clock.monotonicMs());
-        },
-      }),
-    );
-
     const ownEntry = (): NodeEntry => ({
       node: settings.node,
       dataCentre: settings.dataCentre,
       callerAddress: settings.listen.caller,
-      ...(settings.listen.nodes === undefined ? {} : { nodeAddress: settings.listen.nodes }),
+      nodeAddress: settings.listen.nodes,
       leaving: leavingSinceMs !== undefined,
     });
     const registration = Registration.create(
-      platform.store,
+      store,
       clock,
       log,
       platform.nodeKey(settings.node),
@@ -167,37 +186,50 @@
     );
 
     const isReady = (): boolean =>
-      leavingSinceMs === undefined &&
-      view.configuration() !== undefined &&
-      mirrors.every((mirror) => mirror.isComplete());
+      leavingSinceMs === undefined && view.configuration() !== undefined && mirror.isComplete();
 
-    const callerAddresses = (): readonly string[] => {
-      const addresses = new Set<string>();
-      if (isReady()) {
-        addresses.add(settings.listen.caller);
+    /** Only the first writer's secret counts; the others learn it from the store. */
+    const writeSecret = (): void => {
+      if (mirror.isComplete() && view.linkSecret() === undefined) {
+        void store.commit({
+          expected: new Map([[platform.linkSecretKey, 0]]),
+          writes: [{ key: platform.linkSecretKey, value: randomBytes(secretBytes) }],
+          removals: [],
+        });
       }
-      for (const entry of view.nodes.values()) {
-        if (!entry.leaving && entry.node !== settings.node) {
-          addresses.add(entry.callerAddress);
-        }
+    };
+
+    const tick = (): void => {
+      if (mirror.isComplete()) {
+        completeAtMs ??= clock.monotonicMs();
       }
-      return [...addresses];
+      writeSecret();
+      view.fleet.sweep();
+      const addresses = new Set<string>();
+      for (const member of view.fleet.members.values()) {
+        addresses.add(member.upstream.address);
+      }
+      platform.upstreams.retain(addresses);
     };
+    clock.after(secretSpreadMs * random(), tick);
+    const stopTicks = clock.every(sweepIntervalMs, tick);
 
     const readyServer = createServer((_request, response) => {
       response.writeHead(isReady() ? 200 : 503, { 'content-length': 0 }).end();
     });
-    const directoryServer = createServer((_request, response) => {
-      const addresses = callerAddresses();
-      if (addresses.length === 0) {
-        response.writeHead(503, { 'content-length': 0 }).end();
-        return;
-      }
-      const body = platform.writeDirectory(addresses, settings.directoryLifeMs);
-      response
-        .writeHead(200, { 'content-type': 'application/json', 'content-length': body.length })
-        .end(body);
-    });
+    const addresses = (): readonly string[] =>
+      chooseAddresses({
+        node: settings.node,
+        ownAddress: settings.listen.caller,
+        ready: isReady(),
+        nodes: view.nodes.values(),
+        connected: peers.connected(),
+        linksSettled:
+          completeAtMs !== undefined && clock.monotonicMs() - completeAtMs > linksSettleMs,
+      });
+    const directoryServer = createDirectoryServer(log, addresses, (found) =>
+      platform.writeDirectory(found, settings.directoryLifeMs),
+    );
 
     await listen(front.server, settings.listen.caller);
     await listen(readyServer, settings.listen.ready);
@@ -227,14 +259,13 @@
         });
         await whenIdle();
         log.event('stopped', { open: front.openRequests() });
+        stopTicks();
         polling.stop();
-        stopSweep();
-        for (const mirror of mirrors) {
-          mirror.stop();
-        }
+        peers.close();
+        mirror.stop();
         await registration.end();
         platform.upstreams.close();
-        platform.store.close();
+        store.close();
         log.close();
       },
     };
--- a/packages/gateway/src/load-polling.ts
+++ b/packages/gateway/src/load-polling.ts
@@ -1,19 +1,45 @@
+import type { EngineLoad, FleetMember } from '@zinniagrade/serving';
 import type { ServingContext } from './call.js';
-import type { FleetMember } from '@zinniagrade/serving';
 
-/** Reads the load of engines at an interval. */
+export interface LoadPollingOptions {
+  /** Whether this node is the one that reads the load of an upstream. */
+  readonly reads: (upstream: string) => boolean;
+  /** Passes a load on to the other nodes. */
+  readonly share: (upstream: string, load: EngineLoad) => void;
+  readonly onLoad: (member: FleetMember) => void;
+}
+
+/** Reads the load of engines at an interval. Each engine is read by one node for all. */
 export interface LoadPolling {
+  /** Takes a load that another node has read. */
+  readonly take: (upstream: string, load: EngineLoad, readAtMs: number) => void;
   readonly stop: () => void;
 }
 
 /** Reports lag by about as much, so that more frequent reading shows little more. */
-const pollIntervalMs = 500;
+const pollIntervalMs = 400;
 
 export const LoadPolling = {
-  create: (context: ServingContext, onLoad: (member: FleetMember) => void): LoadPolling => {
+  create: (context: ServingContext, options: LoadPollingOptions): LoadPolling => {
     const { clock, log, view } = context;
     const asking = new Set<string>();
 
+    const apply = (member: FleetMember, load: EngineLoad, readAtMs: number): void => {
+      if (readAtMs < member.engineLoadAtMs) {
+        return;
+      }
+      member.engineLoad = load;
+      member.engineLoadAtMs = readAtMs;
+      if (load.leaving && !member.leaving) {
+        member.leaving = true;
+        log.event('upstream says it is leaving', {
+          upstream: member.upstream.id,
+          inMs: load.leavesInMs,
+        });
+      }
+      options.onLoad(member);
+    };
+
     const ask = async (member: FleetMember): Promise<void> => {
       const { id } = member.upstream;
       asking.add(id);
@@ -25,13 +51,8 @@
           log.decision('load not read', { upstream: id, reason: detail });
         },
         Right: (report) => {
-          member.engineLoad = report;
-          member.engineLoadAtMs = askedAtMs;
-          if (report.leaving && !member.leaving) {
-            member.leaving = true;
-            log.event('upstream says it is leaving', { upstream: id, inMs: report.leavesInMs });
-          }
-          onLoad(member);
+          apply(member, report, askedAtMs);
+          options.share(id, report);
         },
       });
     };
@@ -39,8 +60,9 @@
     const pollAll = (): void => {
       const configuration = view.configuration();
       for (const member of view.fleet.members.values()) {
-        const engine = configuration?.services.get(member.upstream.service)?.engine;
-        if (engine !== undefined && member.goneAtMs === undefined && !asking.has(member.upstream.id)) {
+        const { id, service } = member.upstream;
+        const isEngine = configuration?.services.get(service)?.engine !== undefined;
+        if (isEngine && member.goneAtMs === undefined && !asking.has(id) && options.reads(id)) {
           ask(member).catch((error: unknown) => {
             log.event('load polling failed', { reason: String(error) });
           });
@@ -48,6 +70,14 @@
       }
     };
     const cancel = clock.every(pollIntervalMs, pollAll);
-    return { stop: cancel };
+    return {
+      take: (upstream, load, readAtMs) => {
+        const member = view.fleet.members.get(upstream);
+        if (member !== undefined) {
+          apply(member, load, readAtMs);
+        }
+      },
+      stop: cancel,
+    };
   },
 };
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -1,12 +1,15 @@
 import { Failure } from '@zinniagrade/errors';
 import {
   EventSplitter,
+  expectedUse,
   placeGeneration,
   recordAnswer,
+  recordFirstEvent,
   type Choice,
   type Engine,
   type FleetMember,
   type GenerationNeed,
+  type OwnRun,
 } from '@zinniagrade/serving';
 import { beginStream, sendWhole } from './answers.js';
 import type { Call, ServingContext } from './call.js';
@@ -49,6 +52,7 @@
   stopping: boolean;
   closed: boolean;
   onClosed: (() => void) | undefined;
+  readonly onFirstEvent: (nowMs: number) => void;
 }
 
 const outputOf = (call: Call): number => {
@@ -79,6 +83,8 @@
     let lastEvent: string | undefined;
     let events = 0;
     let lastEventAtMs = call.arrivedAtMs;
+    let firstEventMs: number | undefined;
+    let longestGapMs = 0;
     let refusals = 0;
     let continuations = 0;
     let moving = false;
@@ -98,6 +104,7 @@
       excluded: without,
       withdrawn: view.withdrawn,
       allows: context.allowsVersion,
+      peerUse: context.peerUse,
     });
 
     const place = (without: ReadonlySet<string>): FleetMember | undefined =>
@@ -126,6 +133,7 @@
     const release = (ended: Leg): void => {
       ended.closed = true;
       ended.member.ownRuns.delete(request.id);
+      context.useChanged();
       ended.onClosed?.();
     };
 
@@ -160,11 +168,16 @@
           }
           lastEvent = event.id;
         }
-        if (events === 0) {
-          metrics.firstEvent(route.name, clock.monotonicMs() - call.arrivedAtMs);
+        const nowMs = clock.monotonicMs();
+        if (firstEventMs === undefined) {
+          firstEventMs = nowMs - call.arrivedAtMs;
+          from.onFirstEvent(nowMs);
+          metrics.firstEvent(route.name, firstEventMs);
+        } else {
+          longestGapMs = Math.max(longestGapMs, nowMs - lastEventAtMs);
         }
         events += 1;
-        lastEventAtMs = clock.monotonicMs();
+        lastEventAtMs = nowMs;
         if (moveStartedAtMs !== undefined && from === leg && !from.stopping) {
           metrics.moved('done', lastEventAtMs - moveStartedAtMs);
           moveStartedAtMs = undefined;
@@ -181,7 +194,16 @@
       recordAnswer(ended.member, clock.monotonicMs() - ended.sentAtMs, false);
       const rest = ended.splitter.rest();
       response.end(rest);
-      note('complete', ended.member);
+      log.decision('stream complete', {
+        request: request.id,
+        upstream: ended.member.upstream.id,
+        events,
+        continuations,
+        firstEventMs: Math.round(firstEventMs ?? 0),
+        firstEventGoalMs: route.goalMs,
+        longestGapMs: Math.round(longestGapMs),
+        gapGoalMs: route.gapGoalMs,
+      });
       call.finish('complete');
     };
 
@@ -239,6 +261,18 @@
     ): void => {
       const sentAtMs = clock.monotonicMs();
       const backup = chooseBackup(member);
+      const tokensAhead =
+        expectedUse(member, choice(new Set())).promptTokens +
+        (continuation === undefined ? promptTokens : 0);
+      const run: OwnRun = {
+        requestId: request.id,
+        sentAtMs,
+        promptTokens: continuation === undefined ? promptTokens : 0,
+        expectedTokens: expectedTokens(),
+        hasBegun: false,
+      };
+      member.ownRuns.set(request.id, run);
+      context.useChanged();
       const next: Leg = {
         member,
         backup,
@@ -249,17 +283,17 @@
         stopping: false,
         closed: false,
         onClosed: undefined,
+        onFirstEvent: (nowMs) => {
+          run.hasBegun = true;
+          recordFirstEvent(member, nowMs - sentAtMs, tokensAhead);
+          context.useChanged();
+        },
       };
       leg = next;
       if (continuation !== undefined) {
         continuations += 1;
       }
       const errorBody: Buffer[] = [];
-      member.ownRuns.set(request.id, {
-        requestId: request.id,
-        sentAtMs,
-        expectedTokens: expectedTokens(),
-      });
       next.exchange = context.client.send(
         {
           upstream: member.upstream,
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -45,6 +45,7 @@
     excluded,
     withdrawn: context.view.withdrawn,
     allows: context.allowsVersion,
+    peerUse: context.peerUse,
   });
 
   const note = (outcome: string, member: FleetMember, detail?: string | number): void => {
@@ -156,12 +157,20 @@
       budget.countFirst(sentAtMs);
     }
     const runKey = `${request.id}#${String(sends)}`;
-    member.ownRuns.set(runKey, { requestId: request.id, sentAtMs, expectedTokens: 0 });
+    member.ownRuns.set(runKey, {
+      requestId: request.id,
+      sentAtMs,
+      promptTokens: 0,
+      expectedTokens: 0,
+      hasBegun: false,
+    });
+    context.useChanged();
     const chunks: Buffer[] = [];
     let answerHead: AnswerHead | undefined;
     const over = (): void => {
       attempts.delete(attempt);
       member.ownRuns.delete(runKey);
+      context.useChanged();
     };
     const exchange = context.client.send(
       {
@@ -197,6 +206,7 @@
     call.onOver(() => {
       if (attempts.delete(attempt)) {
         member.ownRuns.delete(runKey);
+        context.useChanged();
         exchange.abort();
       }
     });
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -9,7 +9,8 @@
     readonly ready: string;
     readonly directory: string;
     readonly metrics?: string;
-    readonly nodes?: string;
+    /** For the other nodes. */
+    readonly nodes: string;
   };
   /** Addresses of nodes to try when the store can't be reached; may be out of date. */
   readonly seeds: readonly string[];
--- a/packages/gateway/src/store-mirror.ts
+++ b/packages/gateway/src/store-mirror.ts
@@ -1,62 +1,64 @@
 import type { Clock } from '@zinniagrade/clock';
 import type { Log } from './log.js';
 import type { MetadataStore, Revision } from './metadata-store.js';
+import { MirrorItems } from './mirror-items.js';
+import type { RelayedItem } from './node-message.js';
 
 /** What the mirror is to follow, and what it calls. */
 export interface MirrorOptions {
   readonly prefix: string;
-  readonly onValue: (key: string, value: Buffer, revision: Revision) => void;
-  readonly onRemoval: (key: string, revision: Revision) => void;
+  /** Called for each change, in the order of revisions of its key; no value after a removal. */
+  readonly onChange: (key: string, value: Buffer | undefined, revision: Revision) => void;
   /** Whether a removal waits until registrations that lapsed with the store can be back. */
   readonly returnsAfterOutage: (key: string) => boolean;
   /** How long such a removal waits, counted from the store's return. */
   readonly registrationReturnMs: number;
+  /** Called at an interval while the store doesn't answer this node. */
+  readonly whileLost: () => void;
 }
 
 /** Follows all keys below a prefix. It keeps the last state while the store can't be reached. */
 export interface StoreMirror {
-  /** True after the first complete listing. */
+  /** True once the whole state was read, from the store or from another node. */
   readonly isComplete: () => boolean;
-  /** When the store last answered, on the steady clock. */
-  readonly confirmedAtMs: () => number;
+  /** Up to where the store's changes are known. */
+  readonly revision: () => Revision;
+  /** Changes after a revision, for another node. */
+  readonly changesAfter: (revision: Revision) => readonly RelayedItem[];
+  /** Takes over what another node knows. */
+  readonly takeOver: (items: readonly RelayedItem[], revision: Revision) => void;
   readonly stop: () => void;
 }
 
 /** Bounds the time for which a connection that went silent hides changes. */
-const watchWaitMs = 1500;
+const watchWaitMs = 3000;
 const firstRetryMs = 100;
 const maxRetryMs = 800;
 
 export const StoreMirror = {
-  create: (
-    store: MetadataStore,
-    clock: Clock,
-    log: Log,
-    options: MirrorOptions,
-  ): StoreMirror => {
-    const revisions = new Map<string, Revision>();
+  create: (store: MetadataStore, clock: Clock, log: Log, options: MirrorOptions): StoreMirror => {
+    const known = MirrorItems.create();
     const heldRemovals = new Map<string, Revision>();
     let position: Revision | undefined;
+    let knownRevision: Revision = 0;
     let complete = false;
     let stopped = false;
-    let confirmedAtMs = 0;
     let lostAtMs: number | undefined;
     let regainedAtMs = -Infinity;
     let retryMs = firstRetryMs;
 
     const applyValue = (key: string, value: Buffer, revision: Revision): void => {
       heldRemovals.delete(key);
-      if (revision <= (revisions.get(key) ?? 0)) {
-        return;
+      if (known.set(key, value, revision)) {
+        options.onChange(key, value, revision);
       }
-      revisions.set(key, revision);
-      options.onValue(key, value, revision);
     };
 
     const remove = (key: string, revision: Revision): void => {
-      revisions.delete(key);
       heldRemovals.delete(key);
-      options.onRemoval(key, revision);
+      if (known.remove(key, revision)) {
+        options.onChange(key, undefined, revision);
+      }
     };
 
     const releaseHeld = (): void => {
@@ -67,9 +69,6 @@
     };
 
     const applyRemoval = (key: string, revision: Revision): void => {
-      if (!revisions.has(key)) {
-        return;
-      }
       const waitMs = regainedAtMs + options.registrationReturnMs - clock.monotonicMs();
       if (waitMs > 0 && options.returnsAfterOutage(key)) {
         heldRemovals.set(key, revision);
@@ -78,58 +77,60 @@
       remove(key, revision);
     };
 
+    const applyAll = (changes: readonly RelayedItem[]): void => {
+      for (const { key, value, revision } of changes) {
+        if (value === undefined) {
+          applyRemoval(key, revision);
+        } else {
+          applyValue(key, value, revision);
+        }
+      }
+    };
+
     const noteAnswer = (): void => {
-      confirmedAtMs = clock.monotonicMs();
       retryMs = firstRetryMs;
       if (lostAtMs === undefined) {
         return;
       }
-      regainedAtMs = confirmedAtMs;
-      log.event('store regained', {
-        prefix: options.prefix,
-        awayMs: Math.round(regainedAtMs - lostAtMs),
-      });
+      regainedAtMs = clock.monotonicMs();
+      log.event('store regained', { awayMs: Math.round(regainedAtMs - lostAtMs) });
       lostAtMs = undefined;
       clock.after(options.registrationReturnMs, releaseHeld);
     };
 
-    const noteFailure = (reason: string): void => {
+    const noteFailure = async (reason: string): Promise<void> => {
       if (lostAtMs === undefined) {
         lostAtMs = clock.monotonicMs();
-        log.event('store lost', { prefix: options.prefix, reason });
+        log.event('store lost', { revision: knownRevision, reason });
       }
-    };
-
-    const pause = (ms: number): Promise<void> =>
-      new Promise((resolve) => {
-        clock.after(ms, resolve);
+      options.whileLost();
+      await new Promise<void>((resolve) => {
+        clock.after(retryMs, resolve);
       });
-
-    const backOff = async (): Promise<void> => {
-      await pause(retryMs);
       retryMs = Math.min(maxRetryMs, retryMs * 2);
     };
 
+    const advance = (revision: Revision): void => {
+      position = revision;
+      knownRevision = Math.max(knownRevision, revision);
+    };
+
     const listAll = async (): Promise<void> => {
       const listing = await store.list(options.prefix);
       if (listing.isLeft()) {
-        noteFailure(listing.swap().map(({ detail }) => detail).orDefault(''));
-        await backOff();
+        await noteFailure(listing.swap().unsafeCoerce().detail);
         return;
       }
       noteAnswer();
       const { items, revision } = listing.unsafeCoerce();
-      const present = new Set<string>();
-      for (const item of items) {
-        present.add(item.key);
-        applyValue(item.key, item.value, item.revision);
-      }
-      for (const key of [...revisions.keys()]) {
+      const present = new Set(items.map(({ key }) => key));
+      applyAll(items);
+      for (const key of known.keys()) {
         if (!present.has(key)) {
           applyRemoval(key, revision);
         }
       }
-      position = revision;
+      advance(revision);
       complete = true;
     };
 
@@ -138,23 +139,16 @@
       switch (outcome.outcome) {
         case 'events':
           noteAnswer();
-          for (const event of outcome.events) {
-            if (event.value === undefined) {
-              applyRemoval(event.key, event.revision);
-            } else {
-              applyValue(event.key, event.value, event.revision);
-            }
-          }
-          position = Math.max(after, outcome.revision);
+          applyAll(outcome.events);
+          advance(Math.max(after, outcome.revision));
           return;
         case 'history-lost':
           noteAnswer();
-          log.event('store history lost', { prefix: options.prefix, after });
+          log.event('store history lost', { after });
           position = undefined;
           return;
         case 'unavailable':
-          noteFailure(outcome.failure.detail);
-          await backOff();
+          await noteFailure(outcome.failure.detail);
       }
     };
 
@@ -164,13 +158,22 @@
       }
     };
     run().catch((error: unknown) => {
-      log.event('store mirror failed', { prefix: options.prefix, reason: String(error) });
+      log.event('store mirror failed', { reason: String(error) });
       throw error;
     });
 
     return {
       isComplete: () => complete,
-      confirmedAtMs: () => confirmedAtMs,
+      revision: () => knownRevision,
+      changesAfter: (revision) => known.after(revision),
+      takeOver: (items, revision) => {
+        applyAll(items);
+        if (revision > knownRevision) {
+          log.event('state taken over from a node', { revision, before: knownRevision });
+          knownRevision = revision;
+        }
+        complete ||= revision > 0;
+      },
       stop: () => {
         stopped = true;
       },
--- a/packages/gateway/src/view.ts
+++ b/packages/gateway/src/view.ts
@@ -39,6 +39,7 @@
       readonly service: string;
       readonly status: RolloutStatus | undefined;
     }
+  | { readonly kind: 'link-secret'; readonly secret: string }
   | { readonly kind: 'unreadable'; readonly reason: string }
   | { readonly kind: 'other' };
 
@@ -51,6 +52,8 @@
   readonly rolloutStatuses: ReadonlyMap<string, RolloutStatus>;
   readonly configuration: () => Configuration | undefined;
   readonly routes: () => RouteTable | undefined;
+  /** By which nodes know each other. */
+  readonly linkSecret: () => string | undefined;
   readonly apply: (change: Change, revision: number, nowMs: number) => void;
   /** Called after each change that the data path may act on. */
   readonly onChange: (listener: (change: Change) => void) => void;
@@ -66,6 +69,7 @@
     const listeners: ((change: Change) => void)[] = [];
     let configuration: Configuration | undefined;
     let routes: RouteTable | undefined;
+    let linkSecret: string | undefined;
 
     const setOrDelete = <Value>(
       map: Map<string, Value>,
@@ -157,6 +161,9 @@
             revision,
           });
           break;
+        case 'link-secret':
+          linkSecret = change.secret;
+          break;
         case 'unreadable':
           log.event('store entry unreadable', { reason: change.reason, revision });
           return;
@@ -176,6 +183,7 @@
       rolloutStatuses,
       configuration: () => configuration,
       routes: () => routes,
+      linkSecret: () => linkSecret,
       apply,
       onChange: (listener) => {
         listeners.push(listener);
--- a/packages/serving/src/fleet.ts
+++ b/packages/serving/src/fleet.ts
@@ -4,8 +4,12 @@
 export interface OwnRun {
   readonly requestId: string;
   readonly sentAtMs: number;
+  /** Prompt that the engine has to read. */
+  readonly promptTokens: number;
   /** Prompt and expected output. */
   readonly expectedTokens: number;
+  /** Whether its first event has come. */
+  hasBegun: boolean;
 }
 
 /** What this node knows of one upstream. Changed in place: it is read for each request. */
@@ -19,6 +23,8 @@
   engineLoadAtMs: number;
   serviceLoad?: ServiceLoad | undefined;
   serviceLoadAtMs: number;
+  /** Smoothed time to the first event for each prompt token that was waiting; 0 before the first. */
+  msPerPromptToken: number;
   /** Smoothed latency of its answers, in milliseconds; 0 before the first. */
   latencyMs: number;
   /** Smoothed share of its answers that failed, 0 to 1. */
@@ -42,6 +48,8 @@
   readonly sweep: () => readonly string[];
 }
 
+/** Weight of the newest first event: a cold engine is faster a few seconds later. */
+const firstEventWeight = 0.4;
 /** Weight of the newest answer in the smoothed figures. */
 const newestWeight = 0.2;
 
@@ -52,6 +60,7 @@
   engineLoadAtMs: 0,
   serviceLoadAtMs: 0,
   latencyMs: 0,
+  msPerPromptToken: 0,
   failureShare: 0,
   avoidUntilMs: 0,
   leaving: upstream.state === 'draining',
@@ -120,3 +129,19 @@
       ? latencyMs
       : member.latencyMs + newestWeight * (latencyMs - member.latencyMs);
 };
+
+/** Takes the time to a first event into the figure by which later ones are predicted. */
+export const recordFirstEvent = (
+  member: FleetMember,
+  tookMs: number,
+  tokensAhead: number,
+): void => {
+  if (tokensAhead <= 0) {
+    return;
+  }
+  const observed = tookMs / tokensAhead;
+  member.msPerPromptToken =
+    member.msPerPromptToken === 0
+      ? observed
+      : member.msPerPromptToken + firstEventWeight * (observed - member.msPerPromptToken);
+};
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -1,5 +1,6 @@
 import type { Random } from '@zinniagrade/clock';
 import type { FleetMember } from './fleet.js';
+import { ownUse, type UpstreamUse } from './peer-use.js';
 
 /** What one generation is expected to need of an engine. */
 export interface GenerationNeed {
@@ -7,7 +8,7 @@
   readonly outputTokens: number;
 }
 
-/** Limits on the choice of an upstream. */
+/** Limits on the choice of an upstream, and what is known beside the fleet. */
 export interface Choice {
   readonly nowMs: number;
   /** Upstreams that have already had this request. */
@@ -16,20 +17,31 @@
   readonly withdrawn: ReadonlySet<string>;
   /** Whether traffic may go to an upstream of this version. */
   readonly allows: (member: FleetMember) => boolean;
+  /** What the other nodes have at an upstream. */
+  readonly peerUse: (upstream: string) => UpstreamUse;
+}
+
+/** Expected use of an upstream by all nodes. */
+export interface ExpectedUse {
+  readonly requests: number;
+  readonly promptTokens: number;
+  readonly memoryTokens: number;
 }
 
-/** Reports describe the engine as it was this long before it was asked. */
-const reportLagMs = 500;
-/** Engines with less free memory than this share count as full: batches grow with each token. */
-const memoryReserve = 0.06;
-/** Weight of a full batch against full memory: a larger batch only slows each token down. */
-const batchWeight = 0.6;
-/** Prompts not read yet delay the first event of the next request. */
-const waitingWeight = 0.15;
 /** A smoothed share of failures counts as this many times the load. */
 const failureWeight = 8;
-/** Load differences below this share are decided at random, so that nodes don't all choose alike. */
-const tieShare = 0.04;
+/** Costs that differ by less than this share are decided at random, so that nodes spread. */
+const tieShare = 0.03;
+/** Used before the first event of an engine was seen; a typical engine reads 10 tokens a ms. */
+const defaultMsPerPromptToken = 0.1;
+/** An engine in full use slows each token; counted against the wait for the first event. */
+const fullBatchMs = 250;
+/** Engines near the end of their memory preempt requests; counted against the first event. */
+const fullMemoryMs = 400;
+/** Memory use from which preemption is likely, as lengths are only estimates. */
+const memoryLimitShare = 0.92;
+/** Cost of memory over the limit, for each share of the memory: a preempted stream is late. */
+const overflowMs = 20_000;
 
 /** Whether new work may go to the upstream at all. */
 export const isUsable = (member: FleetMember, choice: Choice): boolean =>
@@ -40,60 +52,40 @@
   !choice.withdrawn.has(member.upstream.dataCentre) &&
   choice.allows(member);
 
-/** Expected use of an engine, with the own requests that its last report can't contain yet. */
-export interface EngineUse {
-  readonly tokens: number;
-  readonly requests: number;
-  readonly waiting: number;
-}
-
-export const engineUse = (member: FleetMember): EngineUse => {
-  const { engineLoad: load } = member;
-  if (load === undefined) {
-    let tokens = 0;
-    for (const run of member.ownRuns.values()) {
-      tokens += run.expectedTokens;
-    }
-    return { tokens, requests: member.ownRuns.size, waiting: 0 };
-  }
-  const reported = new Set(load.runs.map((run) => run.requestId));
-  const reportedOf = new Map(load.runs.map((run) => [run.requestId, run.memoryTokens]));
-  let tokens = load.usedTokens;
-  let requests = load.running + load.waiting;
-  for (const run of member.ownRuns.values()) {
-    if (reported.has(run.requestId)) {
-      tokens += Math.max(0, run.expectedTokens - (reportedOf.get(run.requestId) ?? 0));
-    } else if (run.sentAtMs > member.engineLoadAtMs - reportLagMs) {
-      tokens += run.expectedTokens;
-      requests += 1;
-    }
-  }
-  return { tokens, requests, waiting: load.waiting };
-};
-
-/** Load of an engine from 0 (idle) up, with the new request. */
-const enginePressure = (member: FleetMember, need: GenerationNeed, memoryTokens: number): number => {
-  const use = engineUse(member);
-  const total = member.engineLoad?.totalTokens ?? memoryTokens;
-  const memory = (use.tokens + need.promptTokens + need.outputTokens) / Math.max(1, total);
-  const batch = (use.requests + 1) / Math.max(1, member.upstream.slots);
-  return (
-    (memory + batchWeight * batch + waitingWeight * use.waiting) *
-    (1 + failureWeight * member.failureShare)
-  );
+/**
+ * Nodes tell each other what they have sent, which is known at once; the engine's own report is
+ * older, and also contains what unknown nodes sent. The larger of both is taken.
+ */
+export const expectedUse = (member: FleetMember, choice: Choice): ExpectedUse => {
+  const own = ownUse(member);
+  const peers = choice.peerUse(member.upstream.id);
+  return {
+    requests: own.requests + peers.requests,
+    promptTokens: own.promptTokens + peers.promptTokens,
+    memoryTokens: Math.max(
+      own.memoryTokens + peers.memoryTokens,
+      member.engineLoad?.usedTokens ?? 0,
+    ),
+  };
 };
 
-/** Whether the memory of the engine bears the request to its expected end. */
-export const fitsEngine = (
+/** Expected wait for the first event, with what a crowded engine costs later, in milliseconds. */
+export const generationCost = (
   member: FleetMember,
   need: GenerationNeed,
-  memoryTokens: number,
-): boolean => {
-  const use = engineUse(member);
-  const total = member.engineLoad?.totalTokens ?? memoryTokens;
+  engineMemoryTokens: number,
+  choice: Choice,
+): number => {
+  const use = expectedUse(member, choice);
+  const total = Math.max(1, member.engineLoad?.totalTokens ?? engineMemoryTokens);
+  const memory = (use.memoryTokens + need.promptTokens + need.outputTokens) / total;
+  const perToken =
+    member.msPerPromptToken === 0 ? defaultMsPerPromptToken : member.msPerPromptToken;
+  const wait = (use.promptTokens + need.promptTokens) * perToken;
+  const batch = (fullBatchMs * use.requests) / Math.max(1, member.upstream.slots);
+  const overflow = overflowMs * Math.max(0, memory - memoryLimitShare);
   return (
-    use.tokens + need.promptTokens + need.outputTokens <= total * (1 - memoryReserve) &&
-    use.requests < member.upstream.slots
+    (wait + batch + fullMemoryMs * memory + overflow) * (1 + failureWeight * member.failureShare)
   );
 };
 
@@ -122,13 +114,13 @@
 export const placeGeneration = (
   members: readonly FleetMember[],
   need: GenerationNeed,
-  memoryTokens: number,
+  engineMemoryTokens: number,
   choice: Choice,
   random: Random,
 ): FleetMember | undefined =>
   least(
     members.filter((member) => isUsable(member, choice)),
-    (member) => enginePressure(member, need, memoryTokens),
+    (member) => generationCost(member, need, engineMemoryTokens, choice),
     random,
   );
 
@@ -144,11 +136,11 @@
     typicalMs += member.latencyMs / Math.max(1, usable.length);
   }
   const callCost = (member: FleetMember): number => {
-    const running = Math.max(member.ownRuns.size, member.serviceLoad?.running ?? 0);
-    const waiting = member.serviceLoad?.waiting ?? 0;
+    const own = member.ownRuns.size;
+    const running = own + choice.peerUse(member.upstream.id).requests;
     const latency = member.latencyMs === 0 ? typicalMs : member.latencyMs;
     return (
-      ((running + waiting + 1) / Math.max(1, member.upstream.slots)) *
+      ((running + 1) / Math.max(1, member.upstream.slots)) *
       Math.max(1, latency) *
       (1 + failureWeight * member.failureShare)
     );
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -24,6 +24,6 @@
   plugins: [workspaceSources],
   // Some dependencies are CommonJS and load Node's own modules with require.
   banner: {
-    js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
+    js: "import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);",
   },
 });
