Switch a stream to the backup of its run when its engine leaves

Cause: moves from one engine queue behind each other on its link, so the copy of the rest took up to 650 ms. A backup is complete but for the last moments: closing the old connection and continuing from the backup pauses a stream for less than its gap goal.

--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -2,6 +2,7 @@
 import {
   EventSplitter,
   expectedUse,
+  memoryShare,
   placeGeneration,
   recordAnswer,
   recordFirstEvent,
@@ -40,6 +41,12 @@
 const lastEventsWaitMs = 60;
 /** Tries to go on elsewhere before a stream is given up. */
 const maxContinuations = 6;
+/** Shorter outputs are over before a copy would pay. */
+const minBackupOutputTokens = 48;
+/** Engines fuller than this hold no further backups: running requests need the rest. */
+const maxBackupMemoryShare = 0.85;
+/** Time from a run's first event until its prompt has reached the holder of its backup. */
+const backupDelayMs = 700;
 
 interface Leg {
   readonly member: FleetMember;
@@ -52,9 +59,12 @@
   stopping: boolean;
   closed: boolean;
   onClosed: (() => void) | undefined;
+  firstEventAtMs: number | undefined;
   readonly onFirstEvent: (nowMs: number) => void;
 }
 
+const isSound = (member: FleetMember): boolean => !member.leaving && member.goneAtMs === undefined;
+
 const outputOf = (call: Call): number => {
   const { prompt } = call.request;
   if (prompt === undefined) {
@@ -75,6 +85,7 @@
     const { clock, log, metrics, view } = context;
     const { request, route, service, response } = call;
     const excluded = new Set<string>();
+    const backupKey = `${request.id}#backup`;
     const budget = context.retryBudget(service.name);
     const promptTokens = request.prompt?.promptTokens ?? 0;
     const outputTokens = outputOf(call);
@@ -133,6 +144,7 @@
     const release = (ended: Leg): void => {
       ended.closed = true;
       ended.member.ownRuns.delete(request.id);
+      ended.backup?.ownRuns.delete(backupKey);
       context.useChanged();
       ended.onClosed?.();
     };
@@ -169,9 +181,11 @@
           lastEvent = event.id;
         }
         const nowMs = clock.monotonicMs();
+        if (from.firstEventAtMs === undefined) {
+          from.onFirstEvent(nowMs);
+        }
         if (firstEventMs === undefined) {
           firstEventMs = nowMs - call.arrivedAtMs;
-          from.onFirstEvent(nowMs);
           metrics.firstEvent(route.name, firstEventMs);
         } else {
           longestGapMs = Math.max(longestGapMs, nowMs - lastEventAtMs);
@@ -270,8 +284,10 @@
         promptTokens: continuation === undefined ? promptTokens : 0,
         expectedTokens: expectedTokens(),
         hasBegun: false,
+        isBackup: false,
       };
       member.ownRuns.set(request.id, run);
+      backup?.ownRuns.set(backupKey, { ...run, promptTokens: 0, isBackup: true });
       context.useChanged();
       const next: Leg = {
         member,
@@ -283,9 +299,13 @@
         stopping: false,
         closed: false,
         onClosed: undefined,
+        firstEventAtMs: undefined,
         onFirstEvent: (nowMs) => {
+          next.firstEventAtMs = nowMs;
           run.hasBegun = true;
-          recordFirstEvent(member, nowMs - sentAtMs, tokensAhead);
+          if (continuation === undefined) {
+            recordFirstEvent(member, nowMs - sentAtMs, tokensAhead);
+          }
           context.useChanged();
         },
       };
@@ -372,10 +392,14 @@
     };
 
     const chooseBackup = (member: FleetMember): FleetMember | undefined => {
-      if (!engine.backups) {
+      if (!engine.backups || need().outputTokens < minBackupOutputTokens) {
         return undefined;
       }
-      return place(new Set([member.upstream.id]));
+      const holder = place(new Set([member.upstream.id]));
+      return holder !== undefined &&
+        memoryShare(holder, need(), engine.memoryTokens, choice(new Set())) < maxBackupMemoryShare
+        ? holder
+        : undefined;
     };
 
     const begin = (): void => {
@@ -435,6 +459,22 @@
       }
     };
 
+    /** Waits until the backup of a run that has just begun can be complete. */
+    const untilCopied = (from: Leg): Promise<void> =>
+      new Promise((resolve) => {
+        const begunAtMs = from.firstEventAtMs ?? clock.monotonicMs();
+        clock.after(Math.max(0, begunAtMs + backupDelayMs - clock.monotonicMs()), resolve);
+      });
+
+    /** The engine stops as its connection closes, and the backup holds all but the last moments. */
+    const switchToBackup = (from: Leg, backup: FleetMember, reason: string): void => {
+      note('switch to backup', backup, reason);
+      from.stopping = true;
+      moveStartedAtMs = lastEventAtMs;
+      closeLeg(from);
+      start(backup, { copy: context.client.backupOf(backup.upstream, request.id) });
+    };
+
     const move = async (reason: string): Promise<void> => {
       const from = leg;
       if (from === undefined || moving || call.isOver()) {
@@ -442,7 +482,17 @@
       }
       moving = true;
       try {
-        const target = from.backup ?? place(new Set([from.member.upstream.id]));
+        if (from.backup !== undefined && isSound(from.backup)) {
+          await untilCopied(from);
+          if (call.isOver() || from.closed) {
+            return;
+          }
+          if (isSound(from.backup)) {
+            switchToBackup(from, from.backup, reason);
+            return;
+          }
+        }
+        const target = place(new Set([from.member.upstream.id]));
         if (target === undefined) {
           note('no engine to move to', from.member, reason);
           return;
@@ -490,7 +540,11 @@
       service: service.name,
       member: () => leg?.member,
       isMovable: () =>
-        engine.movable && !moving && !call.isOver() && events > 0 && leg?.closed === false,
+        engine.movable &&
+        !moving &&
+        !call.isOver() &&
+        leg?.closed === false &&
+        leg.firstEventAtMs !== undefined,
       expectedTokens,
       move,
     };
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -163,6 +163,7 @@
       promptTokens: 0,
       expectedTokens: 0,
       hasBegun: false,
+      isBackup: false,
     });
     context.useChanged();
     const chunks: Buffer[] = [];
--- a/packages/gateway/src/stream-moves.ts
+++ b/packages/gateway/src/stream-moves.ts
@@ -11,7 +11,10 @@
 }
 
 /** Copies share the engine's link, so more at once would all arrive later. */
-const maxMovesPerEngine = 2;
+const maxMovesPerEngine = 16;
+
+/** Engines that leave together are all known before the first move chooses where to go. */
+const gatherMs = 15;
 
 /** What is lost with the stream: long ones have cost most and are worth most. */
 const mostLostFirst = (a: OpenStream, b: OpenStream): number =>
@@ -21,6 +24,7 @@
   create: (context: ServingContext): StreamMoves => {
     const streams = new Set<OpenStream>();
     const moving = new Map<string, number>();
+    let scheduled = false;
 
     const begin = (stream: OpenStream, member: FleetMember): void => {
       const { id } = member.upstream;
@@ -35,7 +39,8 @@
       });
     };
 
-    const check = (): void => {
+    const checkNow = (): void => {
+      scheduled = false;
       const leaving = [...streams].filter((stream) => stream.member()?.leaving === true);
       for (const stream of leaving.sort(mostLostFirst)) {
         const member = stream.member();
@@ -48,6 +53,13 @@
       }
     };
 
+    const check = (): void => {
+      if (!scheduled) {
+        scheduled = true;
+        context.clock.after(gatherMs, checkNow);
+      }
+    };
+
     return {
       add: (stream) => {
         streams.add(stream);
--- a/packages/serving/src/fleet.ts
+++ b/packages/serving/src/fleet.ts
@@ -10,6 +10,8 @@
   readonly expectedTokens: number;
   /** Whether its first event has come. */
   hasBegun: boolean;
+  /** Only memory is used here: the request runs at another upstream. */
+  readonly isBackup: boolean;
 }
 
 /** What this node knows of one upstream. Changed in place: it is read for each request. */
--- a/packages/serving/src/peer-use.ts
+++ b/packages/serving/src/peer-use.ts
@@ -59,15 +59,17 @@
 
 /** The own use of one upstream. */
 export const ownUse = (member: FleetMember): UpstreamUse => {
+  let requests = 0;
   let promptTokens = 0;
   let memoryTokens = 0;
   for (const run of member.ownRuns.values()) {
+    requests += run.isBackup ? 0 : 1;
     promptTokens += run.hasBegun ? 0 : run.promptTokens;
     memoryTokens += run.expectedTokens;
   }
   return {
     upstream: member.upstream.id,
-    requests: member.ownRuns.size,
+    requests,
     promptTokens,
     memoryTokens,
   };
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -69,6 +69,18 @@
   };
 };
 
+/** Expected memory of an engine with the new request, as a share of what it has. */
+export const memoryShare = (
+  member: FleetMember,
+  need: GenerationNeed,
+  engineMemoryTokens: number,
+  choice: Choice,
+): number => {
+  const total = Math.max(1, member.engineLoad?.totalTokens ?? engineMemoryTokens);
+  const use = expectedUse(member, choice);
+  return (use.memoryTokens + need.promptTokens + need.outputTokens) / total;
+};
+
 /** Expected wait for the first event, with what a crowded engine costs later, in milliseconds. */
 export const generationCost = (
   member: FleetMember,
@@ -77,8 +89,7 @@
   choice: Choice,
 ): number => {
   const use = expectedUse(member, choice);
-  const total = Math.max(1, member.engineLoad?.totalTokens ?? engineMemoryTokens);
-  const memory = (use.memoryTokens + need.promptTokens + need.outputTokens) / total;
+  const memory = memoryShare(member, need, engineMemoryTokens, choice);
   const perToken =
     member.msPerPromptToken === 0 ? defaultMsPerPromptToken : member.msPerPromptToken;
   const wait = (use.promptTokens + need.promptTokens) * perToken;
@@ -136,8 +147,7 @@
     typicalMs += member.latencyMs / Math.max(1, usable.length);
   }
   const callCost = (member: FleetMember): number => {
-    const own = member.ownRuns.size;
-    const running = own + choice.peerUse(member.upstream.id).requests;
+    const running = ownUse(member).requests + choice.peerUse(member.upstream.id).requests;
     const latency = member.latencyMs === 0 ? typicalMs : member.latencyMs;
     return (
       ((running + 1) / Math.max(1, member.upstream.slots)) *
