--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -14,7 +14,7 @@
 } from '@zinniagrade/serving';
 import { beginStream, sendWhole } from './answers.js';
 import type { Call, ServingContext } from './call.js';
-import type { AnswerHead, Exchange, ExchangeFailure, RunCopy } from './upstream-client.js';
+import type { AnswerHead, CopyOutcome, Exchange, ExchangeFailure, RunCopy } from './upstream-client.js';
 
 /** A stream that is being served, as the part that moves streams sees it. */
 export interface OpenStream {
@@ -39,6 +39,12 @@
 const copyTimeoutMs = 2500;
 /** Events that were made before a stop arrive within this time. */
 const lastEventsWaitMs = 60;
+/** The run is stopped once a copy of what is new takes less than this share of the gap goal. */
+const quickCopyShare = 0.4;
+/** Time before another try after a copy found no room. */
+const moveRetryMs = 60;
+/** Copies ahead end after this time: the engine may be gone soon after. */
+const maxCopyAheadMs = 1000;
 /** Tries to go on elsewhere before a stream is given up. */
 const maxContinuations = 6;
 /** Shorter outputs are over before a copy would pay. */
@@ -436,11 +442,21 @@
           stop,
           copyTimeoutMs,
         );
-      const ahead = await copyTo(false);
-      note(`copy ahead: ${ahead.outcome}`, target);
-      if (ahead.outcome !== 'copied' || call.isOver() || from.closed) {
-        return undefined;
-      }
+      const begunAtMs = clock.monotonicMs();
+      let ahead: CopyOutcome;
+      let tookMs: number;
+      do {
+        const askedAtMs = clock.monotonicMs();
+        ahead = await copyTo(false);
+        tookMs = clock.monotonicMs() - askedAtMs;
+        note(`copy ahead: ${ahead.outcome}`, target, `${String(Math.round(tookMs))} ms`);
+        if (ahead.outcome !== 'copied' || call.isOver() || from.closed) {
+          return undefined;
+        }
+      } while (
+        tookMs > route.gapGoalMs * quickCopyShare &&
+        clock.monotonicMs() - begunAtMs < maxCopyAheadMs
+      );
       from.stopping = true;
       moveStartedAtMs = lastEventAtMs;
       const rest = await copyTo(true);
@@ -459,13 +475,17 @@
       }
     };
 
-    /** Waits until the backup of a run that has just begun can be complete. */
-    const untilCopied = (from: Leg): Promise<void> =>
+    const pause = (ms: number): Promise<void> =>
       new Promise((resolve) => {
-        const begunAtMs = from.firstEventAtMs ?? clock.monotonicMs();
-        clock.after(Math.max(0, begunAtMs + backupDelayMs - clock.monotonicMs()), resolve);
+        clock.after(ms, resolve);
       });
 
+    /** Waits until the backup of a run that has just begun can be complete. */
+    const untilCopied = (from: Leg): Promise<void> => {
+      const begunAtMs = from.firstEventAtMs ?? clock.monotonicMs();
+      return pause(Math.max(0, begunAtMs + backupDelayMs - clock.monotonicMs()));
+    };
+
     /** The engine stops as its connection closes, and the backup holds all but the last moments. */
     const switchToBackup = (from: Leg, backup: FleetMember, reason: string): void => {
       note('switch to backup', backup, reason);
@@ -495,14 +515,16 @@
         const target = place(new Set([from.member.upstream.id]));
         if (target === undefined) {
           note('no engine to move to', from.member, reason);
+          await pause(moveRetryMs);
           return;
         }
-        note('move begins', target, reason);
+        note('move begins', target, from.backup === undefined ? 'no backup' : 'backup left');
         const copy = await copyAway(from, target);
         if (call.isOver()) {
           return;
         }
         if (copy === undefined) {
+          await pause(moveRetryMs);
           if (from.closed && leg === from && from.stopping) {
             recover(from, 'engine ended during a move');
           }
