--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -13,16 +13,17 @@
 
 const mocha = new Mocha({ timeout: 60_000, reporter: 'spec', forbidOnly: true });
 const [only] = process.argv.slice(2);
-for (const name of readdirSync('packages').sort()) {
-  const dist = `packages/${name}/dist`;
-  if (!existsSync(dist) || (only !== undefined && only !== name)) {
+const folders = [...readdirSync('packages').sort().map((name) => `packages/${name}`), 'platform'];
+for (const folder of folders) {
+  const dist = `${folder}/dist`;
+  if (!existsSync(dist) || (only !== undefined && !folder.endsWith(only))) {
     continue;
   }
   for (const file of readdirSync(dist, { recursive: true }).sort()) {
     // A compiled test whose source is gone is left over from an earlier build.
     if (
       file.endsWith('.test.js') &&
-      existsSync(`packages/${name}/src/${file.replace(/\.js$/, '.ts')}`)
+      existsSync(`${folder}/src/${file.replace(/\.js$/, '.ts')}`)
     ) {
       mocha.addFile(`${dist}/${file}`);
     }
