--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -50,7 +50,7 @@
 /** Shorter outputs are over before a copy would pay. */
 const minBackupOutputTokens = 48;
 /** Engines fuller than this hold no further backups: running requests need the rest. */
-const maxBackupMemoryShare = 0.85;
+const maxBackupMemoryShare = 0.8;
 /** Time from a run's first event until its prompt has reached the holder of its backup. */
 const backupDelayMs = 700;
 
@@ -91,6 +91,8 @@
     const { clock, log, metrics, view } = context;
     const { request, route, service, response } = call;
     const excluded = new Set<string>();
+    /** Engines that had no room for a copy of this run. */
+    const full = new Set<string>();
     const backupKey = `${request.id}#backup`;
     const budget = context.retryBudget(service.name);
     const promptTokens = request.prompt?.promptTokens ?? 0;
@@ -450,7 +452,12 @@
         ahead = await copyTo(false);
         tookMs = clock.monotonicMs() - askedAtMs;
         note(`copy ahead: ${ahead.outcome}`, target, `${String(Math.round(tookMs))} ms`);
-        if (ahead.outcome !== 'copied' || call.isOver() || from.closed) {
+        if (ahead.outcome !== 'copied') {
+          full.add(target.upstream.id);
+          return undefined;
+        }
+        if (call.isOver() || from.closed) {
+          context.client.dropCopy(from.member.upstream, ahead.copy);
           return undefined;
         }
       } while (
@@ -469,6 +476,7 @@
         case 'no-such-run':
         case 'busy':
           from.stopping = false;
+          context.client.dropCopy(from.member.upstream, ahead.copy);
           return undefined;
         case 'unreachable':
           return ahead.copy;
@@ -512,9 +520,10 @@
             return;
           }
         }
-        const target = place(new Set([from.member.upstream.id]));
+        const target = place(new Set([from.member.upstream.id, ...full]));
         if (target === undefined) {
           note('no engine to move to', from.member, reason);
+          full.clear();
           await pause(moveRetryMs);
           return;
         }
@@ -524,7 +533,6 @@
           return;
         }
         if (copy === undefined) {
-          await pause(moveRetryMs);
           if (from.closed && leg === from && from.stopping) {
             recover(from, 'engine ended during a move');
           }
