Continue a moved stream from the first copy, without a second one

Cause: the second copy of a move queued behind the first copies of other streams on the same link, and the engine was gone before it came. A copy lacks only what was made while it was on its way, which is read anew in some ms.

--- a/packages/gateway/src/load-polling.ts
+++ b/packages/gateway/src/load-polling.ts
@@ -1,4 +1,4 @@
-import type { EngineLoad, FleetMember } from '@zinniagrade/serving';
+import { expectedUse, type EngineLoad, type FleetMember } from '@zinniagrade/serving';
 import type { ServingContext } from './call.js';
 
 export interface LoadPollingOptions {
@@ -52,6 +52,15 @@
         },
         Right: (report) => {
           apply(member, report, askedAtMs);
+          log.decision('engine load', {
+            upstream: id,
+            running: report.running,
+            waiting: report.waiting,
+            usedTokens: report.usedTokens,
+            totalTokens: report.totalTokens,
+            expectedTokens: expectedUse(member, context.peerUse).memoryTokens,
+            leaving: report.leaving,
+          });
           options.share(id, report);
         },
       });
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -14,7 +14,7 @@
 } from '@zinniagrade/serving';
 import { beginStream, sendWhole } from './answers.js';
 import type { Call, ServingContext } from './call.js';
-import type { AnswerHead, CopyOutcome, Exchange, ExchangeFailure, RunCopy } from './upstream-client.js';
+import type { AnswerHead, Exchange, ExchangeFailure, RunCopy } from './upstream-client.js';
 
 /** A stream that is being served, as the part that moves streams sees it. */
 export interface OpenStream {
@@ -37,22 +37,16 @@
 const defaultOutputShare = 0.5;
 /** Longest wait for a copy; a spot removal leaves about this much time. */
 const copyTimeoutMs = 2500;
-/** Events that were made before a stop arrive within this time. */
-const lastEventsWaitMs = 60;
-/** The run is stopped once a copy of what is new takes less than this share of the gap goal. */
-const quickCopyShare = 0.4;
 /** Time before another try after a copy found no room. */
 const moveRetryMs = 60;
-/** Copies ahead end after this time: the engine may be gone soon after. */
-const maxCopyAheadMs = 1000;
 /** Tries to go on elsewhere before a stream is given up. */
 const maxContinuations = 6;
 /** Shorter outputs are over before a copy would pay. */
 const minBackupOutputTokens = 48;
 /** Engines fuller than this hold no further backups: running requests need the rest. */
 const maxBackupMemoryShare = 0.8;
-/** Time from a run's first event until its prompt has reached the holder of its backup. */
-const backupDelayMs = 700;
+/** Time from a run's first event until its prompt has certainly reached the holder of its backup. */
+const backupDelayMs = 1500;
 
 interface Leg {
   readonly member: FleetMember;
@@ -61,11 +55,8 @@
   readonly splitter: EventSplitter;
   head: AnswerHead | undefined;
   readonly sentAtMs: number;
-  /** The engine was told to stop, so the end of its connection says nothing. */
-  stopping: boolean;
   closed: boolean;
-  onClosed: (() => void) | undefined;
-  firstEventAtMs: number | undefined;
+    firstEventAtMs: number | undefined;
   readonly onFirstEvent: (nowMs: number) => void;
 }
 
@@ -126,12 +117,12 @@
       peerUse: context.peerUse,
     });
 
-    const place = (without: ReadonlySet<string>): FleetMember | undefined =>
+    const place = (without: ReadonlySet<string>, near?: string): FleetMember | undefined =>
       placeGeneration(
         view.fleet.ofService(service.name),
         need(),
         engine.memoryTokens,
-        choice(without),
+        { ...choice(without), ...(near === undefined ? {} : { near }) },
         context.random,
       );
 
@@ -154,7 +145,6 @@
       ended.member.ownRuns.delete(request.id);
       ended.backup?.ownRuns.delete(backupKey);
       context.useChanged();
-      ended.onClosed?.();
     };
 
     const closeLeg = (ended: Leg): void => {
@@ -200,7 +190,7 @@
         }
         events += 1;
         lastEventAtMs = nowMs;
-        if (moveStartedAtMs !== undefined && from === leg && !from.stopping) {
+        if (moveStartedAtMs !== undefined && from === leg) {
           metrics.moved('done', lastEventAtMs - moveStartedAtMs);
           moveStartedAtMs = undefined;
         }
@@ -284,7 +274,7 @@
       const sentAtMs = clock.monotonicMs();
       const backup = chooseBackup(member);
       const tokensAhead =
-        expectedUse(member, choice(new Set())).promptTokens +
+        expectedUse(member, context.peerUse).promptTokens +
         (continuation === undefined ? promptTokens : 0);
       const run: OwnRun = {
         requestId: request.id,
@@ -304,9 +294,7 @@
         splitter: EventSplitter.create(),
         head: undefined,
         sentAtMs,
-        stopping: false,
         closed: false,
-        onClosed: undefined,
         firstEventAtMs: undefined,
         onFirstEvent: (nowMs) => {
           next.firstEventAtMs = nowMs;
@@ -355,14 +343,14 @@
           },
           onEnd: () => {
             release(next);
-            if (call.isOver() || next.stopping || next.head === undefined) {
+            if (call.isOver() || next.head === undefined) {
               return;
             }
             onLegEnd(next, next.head, Buffer.concat(errorBody), continuation !== undefined);
           },
           onFailure: (failure) => {
             release(next);
-            if (!call.isOver() && !next.stopping) {
+            if (!call.isOver()) {
               onLegFailure(next, failure, continuation !== undefined);
             }
           },
@@ -421,66 +409,34 @@
       start(member);
     };
 
-    const lastEvents = (ended: Leg): Promise<void> =>
-      new Promise((resolve) => {
-        if (ended.closed) {
-          resolve();
-          return;
-        }
-        const cancel = clock.after(lastEventsWaitMs, resolve);
-        ended.onClosed = () => {
-          cancel();
-          resolve();
-        };
+    /** Copies the run's memory while it goes on. */
+    const copyAhead = async (from: Leg, target: FleetMember): Promise<RunCopy | undefined> => {
+      const moveKey = `${request.id}#move`;
+      target.ownRuns.set(moveKey, {
+        requestId: request.id,
+        sentAtMs: clock.monotonicMs(),
+        promptTokens: 0,
+        expectedTokens: expectedTokens(),
+        hasBegun: true,
+        isBackup: true,
       });
-
-    /** Copies the run while it goes on, then stops it and copies the rest. */
-    const copyAway = async (from: Leg, target: FleetMember): Promise<RunCopy | undefined> => {
-      const copyTo = (stop: boolean) =>
-        context.client.copyRun(
-          from.member.upstream,
-          request.id,
-          target.upstream,
-          stop,
-          copyTimeoutMs,
-        );
-      const begunAtMs = clock.monotonicMs();
-      let ahead: CopyOutcome;
-      let tookMs: number;
-      do {
-        const askedAtMs = clock.monotonicMs();
-        ahead = await copyTo(false);
-        tookMs = clock.monotonicMs() - askedAtMs;
-        note(`copy ahead: ${ahead.outcome}`, target, `${String(Math.round(tookMs))} ms`);
-        if (ahead.outcome !== 'copied') {
-          full.add(target.upstream.id);
-          return undefined;
-        }
-        if (call.isOver() || from.closed) {
-          context.client.dropCopy(from.member.upstream, ahead.copy);
-          return undefined;
-        }
-      } while (
-        tookMs > route.gapGoalMs * quickCopyShare &&
-        clock.monotonicMs() - begunAtMs < maxCopyAheadMs
+      context.useChanged();
+      const askedAtMs = clock.monotonicMs();
+      const copied = await context.client.copyRun(
+        from.member.upstream,
+        request.id,
+        target.upstream,
+        false,
+        copyTimeoutMs,
       );
-      from.stopping = true;
-      moveStartedAtMs = lastEventAtMs;
-      const rest = await copyTo(true);
-      note(`copy of the rest: ${rest.outcome}`, target);
-      switch (rest.outcome) {
-        case 'copied':
-          return rest.copy;
-        case 'no-room':
-          return rest.copy ?? ahead.copy;
-        case 'no-such-run':
-        case 'busy':
-          from.stopping = false;
-          context.client.dropCopy(from.member.upstream, ahead.copy);
-          return undefined;
-        case 'unreachable':
-          return ahead.copy;
+      target.ownRuns.delete(moveKey);
+      context.useChanged();
+      const tookMs = Math.round(clock.monotonicMs() - askedAtMs);
+      note(`copy: ${copied.outcome}`, target, `${String(tookMs)} ms`);
+      if (copied.outcome === 'no-room') {
+        full.add(target.upstream.id);
       }
+      return copied.outcome === 'copied' ? copied.copy : undefined;
     };
 
     const pause = (ms: number): Promise<void> =>
@@ -488,19 +444,39 @@
         clock.after(ms, resolve);
       });
 
-    /** Waits until the backup of a run that has just begun can be complete. */
-    const untilCopied = (from: Leg): Promise<void> => {
-      const begunAtMs = from.firstEventAtMs ?? clock.monotonicMs();
-      return pause(Math.max(0, begunAtMs + backupDelayMs - clock.monotonicMs()));
-    };
-
-    /** The engine stops as its connection closes, and the backup holds all but the last moments. */
-    const switchToBackup = (from: Leg, backup: FleetMember, reason: string): void => {
-      note('switch to backup', backup, reason);
-      from.stopping = true;
+    /**
+     * The run goes on elsewhere from a copy that lacks only its last moments, which are read anew. Its
+     * old engine stops as the connection closes.
+     */
+    const switchTo = (from: Leg, target: FleetMember, copy: RunCopy, reason: string): void => {
+      note('switch', target, reason);
       moveStartedAtMs = lastEventAtMs;
       closeLeg(from);
-      start(backup, { copy: context.client.backupOf(backup.upstream, request.id) });
+      start(target, { copy });
+    };
+
+    /** Whether the prompt has certainly reached the holder of the backup. */
+    const isBackedUp = (from: Leg): boolean =>
+      from.firstEventAtMs !== undefined &&
+      clock.monotonicMs() - from.firstEventAtMs > backupDelayMs;
+
+    const moveByCopy = async (from: Leg): Promise<void> => {
+      const target = place(new Set([from.member.upstream.id, ...full]), from.member.upstream.dataCentre);
+      if (target === undefined) {
+        note('no engine to move to', from.member);
+        full.clear();
+        await pause(moveRetryMs);
+        return;
+      }
+      const copy = await copyAhead(from, target);
+      if (copy === undefined) {
+        return;
+      }
+      if (call.isOver() || from.closed) {
+        context.client.dropCopy(from.member.upstream, copy);
+        return;
+      }
+      switchTo(from, target, copy, 'copied');
     };
 
     const move = async (reason: string): Promise<void> => {
@@ -510,40 +486,16 @@
       }
       moving = true;
       try {
-        if (from.backup !== undefined && isSound(from.backup)) {
-          await untilCopied(from);
-          if (call.isOver() || from.closed) {
-            return;
-          }
-          if (isSound(from.backup)) {
-            switchToBackup(from, from.backup, reason);
-            return;
-          }
-        }
-        const target = place(new Set([from.member.upstream.id, ...full]));
-        if (target === undefined) {
-          note('no engine to move to', from.member, reason);
-          full.clear();
-          await pause(moveRetryMs);
-          return;
-        }
-        note('move begins', target, from.backup === undefined ? 'no backup' : 'backup left');
-        const copy = await copyAway(from, target);
-        if (call.isOver()) {
-          return;
-        }
-        if (copy === undefined) {
-          if (from.closed && leg === from && from.stopping) {
-            recover(from, 'engine ended during a move');
-          }
-          return;
-        }
-        await lastEvents(from);
-        if (call.isOver()) {
+        if (from.backup !== undefined && isSound(from.backup) && isBackedUp(from)) {
+          switchTo(
+            from,
+            from.backup,
+            context.client.backupOf(from.backup.upstream, request.id),
+            reason,
+          );
           return;
         }
-        closeLeg(from);
-        start(target, { copy });
+        await moveByCopy(from);
       } finally {
         moving = false;
       }
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -17,6 +17,8 @@
   readonly withdrawn: ReadonlySet<string>;
   /** Whether traffic may go to an upstream of this version. */
   readonly allows: (member: FleetMember) => boolean;
+  /** Data centre that memory is copied from, for a move: copies between data centres are slower. */
+  readonly near?: string;
   /** What the other nodes have at an upstream. */
   readonly peerUse: (upstream: string) => UpstreamUse;
 }
@@ -38,6 +40,8 @@
 const fullBatchMs = 250;
 /** Engines near the end of their memory preempt requests; counted against the first event. */
 const fullMemoryMs = 400;
+/** Cost of a copy between data centres. */
+const farMs = 200;
 /** Memory use from which preemption is likely, as lengths are only estimates. */
 const memoryLimitShare = 0.92;
 /** Cost of memory over the limit, for each share of the memory: a preempted stream is late. */
@@ -56,9 +60,12 @@
  * Nodes tell each other what they have sent, which is known at once; the engine's own report is
  * older, and also contains what unknown nodes sent. The larger of both is taken.
  */
-export const expectedUse = (member: FleetMember, choice: Choice): ExpectedUse => {
+export const expectedUse = (
+  member: FleetMember,
+  peerUse: Choice['peerUse'],
+): ExpectedUse => {
   const own = ownUse(member);
-  const peers = choice.peerUse(member.upstream.id);
+  const peers = peerUse(member.upstream.id);
   return {
     requests: own.requests + peers.requests,
     promptTokens: own.promptTokens + peers.promptTokens,
@@ -77,7 +84,7 @@
   choice: Choice,
 ): number => {
   const total = Math.max(1, member.engineLoad?.totalTokens ?? engineMemoryTokens);
-  const use = expectedUse(member, choice);
+  const use = expectedUse(member, choice.peerUse);
   return (use.memoryTokens + need.promptTokens + need.outputTokens) / total;
 };
 
@@ -88,15 +95,16 @@
   engineMemoryTokens: number,
   choice: Choice,
 ): number => {
-  const use = expectedUse(member, choice);
+  const use = expectedUse(member, choice.peerUse);
   const memory = memoryShare(member, need, engineMemoryTokens, choice);
   const perToken =
     member.msPerPromptToken === 0 ? defaultMsPerPromptToken : member.msPerPromptToken;
   const wait = (use.promptTokens + need.promptTokens) * perToken;
   const batch = (fullBatchMs * use.requests) / Math.max(1, member.upstream.slots);
   const overflow = overflowMs * Math.max(0, memory - memoryLimitShare);
+  const far = choice.near === undefined || choice.near === member.upstream.dataCentre ? 0 : farMs;
   return (
-    (wait + batch + fullMemoryMs * memory + overflow) * (1 + failureWeight * member.failureShare)
+    (wait + batch + far + fullMemoryMs * memory + overflow) * (1 + failureWeight * member.failureShare)
   );
 };
 
