--- a/packages/gateway/src/node-message.ts
+++ b/packages/gateway/src/node-message.ts
@@ -28,6 +28,7 @@
   requests: z.number(),
   promptTokens: z.number(),
   memoryTokens: z.number(),
+  copyTokens: z.number(),
 });
 
 const loadSchema = z.object({
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -32,7 +32,7 @@
 /** Time before another try to move where no engine had room. */
 const moveRetryMs = 60;
 /** Engines fuller than this hold no further backups: running requests need the rest. */
-const maxBackupMemoryShare = 0.8;
+const maxBackupMemoryShare = 0.85;
 
 /**
  * Serves a stream. It runs once: when its engine leaves or is lost, the same run goes on at another
@@ -143,7 +143,7 @@
     /** Goes on from the copy of a run whose engine was lost, or ends the stream. */
     const recover = (reason: string): void => {
       const found = standby;
-      const usable = found !== undefined && isLastResort(found);
+      const usable = found !== undefined && isLastResort(found, context.view.withdrawn);
       if (usable && continuations < maxContinuations) {
         continueAt(found.holder, found.copy, reason);
         return;
@@ -306,7 +306,7 @@
       }
       copying = true;
       try {
-        if (standby !== undefined && isReady(standby, clock.monotonicMs())) {
+        if (standby !== undefined && isReady(standby, context.view.withdrawn, clock.monotonicMs())) {
           from.close();
           continueAt(standby.holder, standby.copy, reason);
         } else {
--- a/packages/gateway/src/standby.ts
+++ b/packages/gateway/src/standby.ts
@@ -9,13 +9,17 @@
   readonly readyAtMs: number;
 }
 
-/** Whether the engine can take the run over. */
-const isSound = (member: FleetMember): boolean =>
-  !member.leaving && member.goneAtMs === undefined;
-
 /** Whether a running request may be stopped in favour of the copy. */
-export const isReady = (standby: Standby, nowMs: number): boolean =>
-  isSound(standby.holder) && standby.readyAtMs <= nowMs;
+export const isReady = (
+  standby: Standby,
+  withdrawn: ReadonlySet<string>,
+  nowMs: number,
+): boolean =>
+  isLastResort(standby, withdrawn) && !standby.holder.leaving && standby.readyAtMs <= nowMs;
 
-/** Whether the copy is worth a try after the run was lost: nothing better is left then. */
-export const isLastResort = (standby: Standby): boolean => standby.holder.goneAtMs === undefined;
+/**
+ * Whether the copy is worth a try after the run was lost: nothing better is left then. An engine in
+ * a withdrawn data centre gets no request, also none that goes on.
+ */
+export const isLastResort = (standby: Standby, withdrawn: ReadonlySet<string>): boolean =>
+  standby.holder.goneAtMs === undefined && !withdrawn.has(standby.holder.upstream.dataCentre);
--- a/packages/gateway/src/stream-placement.ts
+++ b/packages/gateway/src/stream-placement.ts
@@ -1,6 +1,7 @@
 import {
   memoryShare,
   placeGeneration,
+  runningShare,
   type Choice,
   type Engine,
   type FleetMember,
@@ -32,6 +33,8 @@
 const defaultOutputShare = 0.5;
 /** Shorter outputs are over before a copy would pay. */
 const minCopiedOutputTokens = 48;
+/** No copies are begun where running requests need more than this share of all engines. */
+const maxRunningShare = 0.7;
 
 const expectedOutput = (call: Call): number => {
   const { prompt } = call.request;
@@ -83,13 +86,13 @@
         if (holder === undefined) {
           return undefined;
         }
-        const share = memoryShare(
-          holder,
-          needAfter(events),
-          engine.memoryTokens,
-          choice(without, near),
-        );
-        return share < maxMemoryShare ? holder : undefined;
+        const limits = choice(without, near);
+        const members = view.fleet.ofService(call.service.name);
+        const share = memoryShare(holder, needAfter(events), engine.memoryTokens, limits);
+        return share < maxMemoryShare &&
+          runningShare(members, engine.memoryTokens, limits) < maxRunningShare
+          ? holder
+          : undefined;
       },
     };
   },
--- a/packages/serving/src/peer-use.ts
+++ b/packages/serving/src/peer-use.ts
@@ -6,8 +6,10 @@
   readonly requests: number;
   /** Prompt tokens of requests without a first event yet. */
   readonly promptTokens: number;
-  /** Expected memory of all its requests at their end. */
+  /** Expected memory of all its requests at their end, with copies of requests that run elsewhere. */
   readonly memoryTokens: number;
+  /** The part of it that is copies. */
+  readonly copyTokens: number;
 }
 
 /** What the other nodes have at the upstreams, as they last said. */
@@ -43,15 +45,17 @@
         let requests = 0;
         let promptTokens = 0;
         let memoryTokens = 0;
+        let copyTokens = 0;
         for (const { uses, atMs } of snapshots.values()) {
           const use = nowMs - atMs > lifeMs ? undefined : uses.get(upstream);
           if (use !== undefined) {
             requests += use.requests;
             promptTokens += use.promptTokens;
             memoryTokens += use.memoryTokens;
+            copyTokens += use.copyTokens;
           }
         }
-        return { upstream, requests, promptTokens, memoryTokens };
+        return { upstream, requests, promptTokens, memoryTokens, copyTokens };
       },
     };
   },
@@ -62,15 +66,18 @@
   let requests = 0;
   let promptTokens = 0;
   let memoryTokens = 0;
+  let copyTokens = 0;
   for (const run of member.ownRuns.values()) {
     requests += run.isBackup ? 0 : 1;
     promptTokens += run.hasBegun ? 0 : run.promptTokens;
     memoryTokens += run.expectedTokens;
+    copyTokens += run.isBackup ? run.expectedTokens : 0;
   }
   return {
     upstream: member.upstream.id,
     requests,
     promptTokens,
     memoryTokens,
+    copyTokens,
   };
 };
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -88,6 +88,28 @@
   return (use.memoryTokens + need.promptTokens + need.outputTokens) / total;
 };
 
+/**
+ * Memory that running requests alone are expected to need, as a share of all usable engines. Copies
+ * come second: where running requests fill the engines, a copy would make others wait.
+ */
+export const runningShare = (
+  members: readonly FleetMember[],
+  engineMemoryTokens: number,
+  choice: Choice,
+): number => {
+  let running = 0;
+  let total = 0;
+  for (const member of members) {
+    if (isUsable(member, choice)) {
+      const own = ownUse(member);
+      const peers = choice.peerUse(member.upstream.id);
+      running += own.memoryTokens - own.copyTokens + peers.memoryTokens - peers.copyTokens;
+      total += member.engineLoad?.totalTokens ?? engineMemoryTokens;
+    }
+  }
+  return total === 0 ? 1 : running / total;
+};
+
 /** Expected wait for the first event, with what a crowded engine costs later, in milliseconds. */
 export const generationCost = (
   member: FleetMember,
