--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -25,8 +25,8 @@
   readonly client: UpstreamClient;
   readonly retryBudget: (service: string) => RetryBudget;
   readonly nodeCount: () => number;
-  /** Whether traffic of its service may go to this upstream's version. */
-  readonly allowsVersion: (member: FleetMember) => boolean;
+  /** Whether a request more may go to this upstream, by its version and its cold start. */
+  readonly allows: (member: FleetMember) => boolean;
   /** What the other nodes have at an upstream. */
   readonly peerUse: (upstream: string) => UpstreamUse;
   /** Called after this node's requests at upstreams have changed. */
--- /dev/null
+++ b/packages/gateway/src/directory.test.ts
@@ -0,0 +1,35 @@
+import { expect } from 'chai';
+import { chooseAddresses, type DirectoryState } from './directory.js';
+
+const createState = (part: Partial<DirectoryState>): DirectoryState => ({
+  node: 'n1',
+  ownAddress: '10.0.0.1:80',
+  ready: true,
+  nodes: [
+    { node: 'n1', dataCentre: 'a', callerAddress: '10.0.0.1:80', leaving: false },
+    { node: 'n2', dataCentre: 'a', callerAddress: '10.0.0.2:80', leaving: false },
+    { node: 'n3', dataCentre: 'b', callerAddress: '10.0.0.3:80', leaving: true },
+  ],
+  connected: ['n2', 'n3'],
+  linksSettled: true,
+  ...part,
+});
+
+describe('directory', () => {
+  it('names ready nodes that it hears from', () => {
+    expect(chooseAddresses(createState({}))).to.deep.equal(['10.0.0.1:80', '10.0.0.2:80']);
+  });
+
+  it('leaves out a dead node whose registration is kept while the store is away', () => {
+    expect(chooseAddresses(createState({ connected: [] }))).to.deep.equal(['10.0.0.1:80']);
+  });
+
+  it('goes by registrations alone until the links can be open', () => {
+    const state = createState({ connected: [], linksSettled: false });
+    expect(chooseAddresses(state)).to.deep.equal(['10.0.0.1:80', '10.0.0.2:80']);
+  });
+
+  it('names itself only while it is ready', () => {
+    expect(chooseAddresses(createState({ ready: false }))).to.deep.equal(['10.0.0.2:80']);
+  });
+});
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -9,8 +9,10 @@
 const defaultWaitMs = 60_000;
 /** An upper bound for buffered request bodies, as a share of the process's memory. */
 const bodyMemoryShare = 0.2;
-/** Refusals before the first configuration ask for this wait. */
-const startingRetryAfterMs = 500;
+/** Refusals before the first configuration ask for this wait: the store is away for seconds. */
+const startingRetryAfterMs = 2000;
+/** A node whose memory is full has ended some of its requests after this time. */
+const memoryRetryAfterMs = 500;
 /** A leaving node refuses what can't end before it does; other nodes serve it at once. */
 const leavingRetryAfterMs = 20;
 
@@ -151,7 +153,11 @@
       };
     };
 
-    const refuse = (response: ServerResponse, request: CallerRequest | undefined, failure: Failure): void => {
+    const refuse = (
+      response: ServerResponse,
+      request: CallerRequest | undefined,
+      failure: Failure,
+    ): void => {
       log.decision('refused', {
         request: request?.id,
         outcome: failure.kind,
@@ -179,7 +185,11 @@
         return;
       }
       if (configuration === undefined || routes === undefined) {
-        const failure = Failure.create('store-unavailable', 'no configuration yet', startingRetryAfterMs);
+        const failure = Failure.create(
+          'store-unavailable',
+          'no configuration yet',
+          startingRetryAfterMs,
+        );
         refuse(response, request, failure);
         return;
       }
@@ -200,7 +210,11 @@
         return;
       }
       if (bufferedBytes + body.length > maxBufferedBytes) {
-        refuse(response, request, Failure.create('overloaded', 'memory is full', startingRetryAfterMs));
+        refuse(
+          response,
+          request,
+          Failure.create('overloaded', 'memory is full', memoryRetryAfterMs),
+        );
         return;
       }
       const leavesInMs = context.leavesInMs();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import { createServer, type Server } from 'node:http';
 import { Random, type Clock } from '@zinniagrade/clock';
-import { RetryBudget, type Route } from '@zinniagrade/serving';
+import { bearsMore, RetryBudget, type FleetMember, type Route } from '@zinniagrade/serving';
 import type { ServingContext } from './call.js';
 import type { ReadCallerRequest } from './caller-request.js';
 import { chooseAddresses, createDirectoryServer } from './directory.js';
@@ -41,6 +41,8 @@
 
 /** A running gateway process. */
 export interface Gateway {
+  /** Takes over changed settings; addresses count from the next start. */
+  readonly reload: (settings: GatewaySettings) => void;
   /** Serves what is open and what can still end in time, then resolves. */
   readonly leave: () => Promise<void>;
 }
@@ -71,7 +73,8 @@
 
 export const Gateway = {
   create: async (platform: Platform, clock: Clock, log: Log): Promise<Gateway> => {
-    const { settings, store } = platform;
+    const { store } = platform;
+    let { settings } = platform;
     const metrics = Metrics.create();
     const view = View.create(log);
     const random = Random.create(randomBytes(4).readInt32LE());
@@ -113,6 +116,19 @@
       whileLost: peers.pull,
     });
 
+    const bearsColdStart = (member: FleetMember): boolean =>
+      bearsMore(
+        member,
+        {
+          perSecond:
+            view.configuration()?.services.get(member.upstream.service)?.coldPerSecond ?? 0,
+          excess: settings.coldExcess,
+          slack: settings.coldSlack,
+        },
+        Math.max(1, view.nodes.size),
+        clock.monotonicMs(),
+      );
+
     const context: ServingContext = {
       clock,
       random,
@@ -122,7 +138,7 @@
       client: platform.upstreams,
       retryBudget: budgetOf,
       nodeCount: () => Math.max(1, view.nodes.size),
-      allowsVersion: () => true,
+      allows: bearsColdStart,
       peerUse: peers.peerUse,
       useChanged: peers.useChanged,
       leavesInMs,
@@ -250,6 +266,11 @@
       });
 
     return {
+      reload: (next) => {
+        settings = next;
+        budgets.clear();
+        log.event('reloaded', { graceMs: next.graceMs, retryRatio: next.retries.ratio });
+      },
       leave: async () => {
         leavingSinceMs ??= clock.monotonicMs();
         log.event('leaving', { open: front.openRequests(), graceMs: settings.graceMs });
--- a/packages/gateway/src/metadata-store.ts
+++ b/packages/gateway/src/metadata-store.ts
@@ -26,7 +26,11 @@
 
 /** `history-lost`: the store no longer knows the changes since the given revision. */
 export type WatchOutcome =
-  | { readonly outcome: 'events'; readonly events: readonly StoreEvent[]; readonly revision: Revision }
+  | {
+      readonly outcome: 'events';
+      readonly events: readonly StoreEvent[];
+      readonly revision: Revision;
+    }
   | { readonly outcome: 'history-lost' }
   | { readonly outcome: 'unavailable'; readonly failure: Failure };
 
--- a/packages/gateway/src/node-message.ts
+++ b/packages/gateway/src/node-message.ts
@@ -39,9 +39,7 @@
   leaving: z.boolean(),
   leavesInMs: z.number().optional(),
   startedAt: z.number(),
-  runs: z.array(
-    z.object({ requestId: z.string(), memoryTokens: z.number(), events: z.number() }),
-  ),
+  runs: z.array(z.object({ requestId: z.string(), memoryTokens: z.number(), events: z.number() })),
 });
 
 const messageSchema = z.discriminatedUnion('kind', [
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -1,5 +1,10 @@
 import { Failure } from '@zinniagrade/errors';
-import { recordAnswer, type Engine, type FleetMember, type StreamEvent } from '@zinniagrade/serving';
+import {
+  recordAnswer,
+  type Engine,
+  type FleetMember,
+  type StreamEvent,
+} from '@zinniagrade/serving';
 import { beginStream, sendWhole } from './answers.js';
 import type { Call, ServingContext } from './call.js';
 import { isLastResort, isReady, type Standby } from './standby.js';
@@ -23,6 +28,11 @@
 const avoidAfterFailureMs = 500;
 const maxRefusals = 4;
 const refusalRetryAfterMs = 600;
+/** Share of the latency objective for which a request waits for memory to become free. */
+const longestWaitShare = 0.5;
+const roomCheckMs = 40;
+/** Engines that are full have room again after about this time. */
+const overloadRetryAfterMs = 2000;
 /** Longest wait for a copy; engines that leave at short notice are gone by then. */
 const copyTimeoutMs = 2500;
 /** Tries to go on elsewhere before a stream is given up. */
@@ -235,12 +245,32 @@
             };
     };
 
+    /** Engines free memory all the time; a request that can't begin in time is refused. */
+    const waitForRoom = (fullest: FleetMember): void => {
+      const waitedMs = clock.monotonicMs() - call.arrivedAtMs;
+      if (waitedMs > route.goalMs * longestWaitShare) {
+        note('no room', fullest);
+        call.fail(
+          Failure.create('overloaded', `engines of ${service.name} are full`, overloadRetryAfterMs),
+        );
+        return;
+      }
+      call.onOver(clock.after(roomCheckMs, begin));
+    };
+
     const begin = (): void => {
+      if (call.isOver()) {
+        return;
+      }
       const member = placement.place(tried, events);
       if (member === undefined) {
         refuse();
         return;
       }
+      if (!placement.fits(member, events)) {
+        waitForRoom(member);
+        return;
+      }
       tried.add(member.upstream.id);
       note('sent', member);
       start(member);
@@ -265,7 +295,11 @@
         false,
         copyTimeoutMs,
       );
-      note(`copy: ${copied.outcome}`, target, `${String(Math.round(clock.monotonicMs() - askedAtMs))} ms`);
+      note(
+        `copy: ${copied.outcome}`,
+        target,
+        `${String(Math.round(clock.monotonicMs() - askedAtMs))} ms`,
+      );
       if (copied.outcome === 'copied') {
         if (!call.isOver() && !from.isClosed()) {
           return copied.copy;
@@ -306,7 +340,10 @@
       }
       copying = true;
       try {
-        if (standby !== undefined && isReady(standby, context.view.withdrawn, clock.monotonicMs())) {
+        if (
+          standby !== undefined &&
+          isReady(standby, context.view.withdrawn, clock.monotonicMs())
+        ) {
           from.close();
           continueAt(standby.holder, standby.copy, reason);
         } else {
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -1,5 +1,11 @@
 import { Failure } from '@zinniagrade/errors';
-import { placeCall, recordAnswer, type Choice, type FleetMember } from '@zinniagrade/serving';
+import {
+  noteColdSend,
+  placeCall,
+  recordAnswer,
+  type Choice,
+  type FleetMember,
+} from '@zinniagrade/serving';
 import { sendWhole } from './answers.js';
 import type { Call, ServingContext } from './call.js';
 import type { AnswerHead, Exchange, ExchangeFailure } from './upstream-client.js';
@@ -44,7 +50,7 @@
     nowMs: clock.monotonicMs(),
     excluded,
     withdrawn: context.view.withdrawn,
-    allows: context.allowsVersion,
+    allows: context.allows,
     peerUse: context.peerUse,
   });
 
@@ -140,11 +146,7 @@
   };
 
   const send = (): void => {
-    const member = placeCall(
-      context.view.fleet.ofService(service.name),
-      choice(),
-      context.random,
-    );
+    const member = placeCall(context.view.fleet.ofService(service.name), choice(), context.random);
     if (member === undefined) {
       giveUp();
       return;
@@ -157,6 +159,7 @@
       budget.countFirst(sentAtMs);
     }
     const runKey = `${request.id}#${String(sends)}`;
+    noteColdSend(member, sentAtMs);
     member.ownRuns.set(runKey, {
       requestId: request.id,
       sentAtMs,
@@ -233,7 +236,9 @@
     if (sends === 0) {
       giveUp();
     } else {
-      call.fail(Failure.create('upstream-timeout', `no answer within ${String(route.timeoutMs)} ms`));
+      call.fail(
+        Failure.create('upstream-timeout', `no answer within ${String(route.timeoutMs)} ms`),
+      );
     }
   });
   call.onOver(cancelTimeout);
--- a/packages/gateway/src/standby.ts
+++ b/packages/gateway/src/standby.ts
@@ -10,11 +10,7 @@
 }
 
 /** Whether a running request may be stopped in favour of the copy. */
-export const isReady = (
-  standby: Standby,
-  withdrawn: ReadonlySet<string>,
-  nowMs: number,
-): boolean =>
+export const isReady = (standby: Standby, withdrawn: ReadonlySet<string>, nowMs: number): boolean =>
   isLastResort(standby, withdrawn) && !standby.holder.leaving && standby.readyAtMs <= nowMs;
 
 /**
--- a/packages/gateway/src/stream-leg.ts
+++ b/packages/gateway/src/stream-leg.ts
@@ -1,6 +1,7 @@
 import {
   EventSplitter,
   expectedUse,
+  noteColdSend,
   recordFirstEvent,
   type FleetMember,
   type OwnRun,
@@ -74,6 +75,7 @@
       hasBegun: false,
       isBackup: false,
     };
+    noteColdSend(member, sentAtMs);
     member.ownRuns.set(runKey, run);
     backup?.ownRuns.set(backupKey, { ...run, promptTokens: 0, isBackup: true });
     context.useChanged();
--- a/packages/gateway/src/stream-placement.ts
+++ b/packages/gateway/src/stream-placement.ts
@@ -20,6 +20,8 @@
     events: number,
     near?: string,
   ) => FleetMember | undefined;
+  /** Whether the engine has memory for the whole request. */
+  readonly fits: (member: FleetMember, events: number) => boolean;
   /** An engine that stays below a memory share with a copy; undefined where a copy doesn't pay. */
   readonly placeCopy: (
     without: ReadonlySet<string>,
@@ -35,6 +37,9 @@
 const minCopiedOutputTokens = 48;
 /** No copies are begun where running requests need more than this share of all engines. */
 const maxRunningShare = 0.7;
+/** Engines fuller than this preempt requests, as lengths are only estimates. */
+const maxFilledShare = 1;
+const nothing: ReadonlySet<string> = new Set();
 
 const expectedOutput = (call: Call): number => {
   const { prompt } = call.request;
@@ -60,7 +65,7 @@
       nowMs: clock.monotonicMs(),
       excluded,
       withdrawn: view.withdrawn,
-      allows: context.allowsVersion,
+      allows: context.allows,
       peerUse: context.peerUse,
       ...(near === undefined ? {} : { near }),
     });
@@ -78,6 +83,9 @@
       promptTokens,
       expectedTokens: (events) => promptTokens + needAfter(events).outputTokens,
       place,
+      fits: (member, events) =>
+        memoryShare(member, needAfter(events), engine.memoryTokens, choice(nothing, undefined)) <
+        maxFilledShare,
       placeCopy: (without, events, maxMemoryShare, near) => {
         if (outputTokens < minCopiedOutputTokens) {
           return undefined;
--- /dev/null
+++ b/packages/serving/src/event-splitter.test.ts
@@ -0,0 +1,37 @@
+import { expect } from 'chai';
+import { EventSplitter } from './event-splitter.js';
+
+const textsOf = (events: readonly { readonly bytes: Buffer }[]): readonly string[] =>
+  events.map(({ bytes }) => bytes.toString());
+
+describe('event splitter', () => {
+  it('gives only whole events, wherever the stream is cut', () => {
+    // Guards against passing on the half of an event when an engine breaks off inside it.
+    const stream = 'id: 1\ndata: a\n\nid: 2\ndata: bb\n\n';
+    for (let cut = 0; cut <= stream.length; cut += 1) {
+      const splitter = EventSplitter.create();
+      const first = splitter.push(Buffer.from(stream.slice(0, cut)));
+      const second = splitter.push(Buffer.from(stream.slice(cut)));
+      expect([...textsOf(first), ...textsOf(second)]).to.deep.equal([
+        'id: 1\ndata: a\n\n',
+        'id: 2\ndata: bb\n\n',
+      ]);
+    }
+  });
+
+  it('reads ids with other lines before them', () => {
+    const [event] = EventSplitter.create().push(Buffer.from('version: 2\nid:7\ndata: x\n\n'));
+    expect(event?.id).to.equal('7');
+  });
+
+  it('accepts lines that end with carriage return and line feed', () => {
+    const events = EventSplitter.create().push(Buffer.from('id: 1\r\ndata: a\r\n\r\nid: 2\r\n'));
+    expect(events.map(({ id }) => id)).to.deep.equal(['1']);
+  });
+
+  it('keeps the bytes after the last event', () => {
+    const splitter = EventSplitter.create();
+    splitter.push(Buffer.from('data: a\n\ndata: b'));
+    expect(splitter.rest().toString()).to.equal('data: b');
+  });
+});
--- a/packages/serving/src/fleet.ts
+++ b/packages/serving/src/fleet.ts
@@ -33,6 +33,10 @@
   failureShare: number;
   /** No requests are sent before this time, after connections failed. */
   avoidUntilMs: number;
+  /** Cold upstreams fall over under full load; until this time on the node's steady clock. */
+  coldUntilMs: number;
+  /** When this node sent requests within the last second, while the upstream was cold. */
+  readonly coldSends: number[];
   /** Set when the upstream said itself that it is leaving, or a withdrawal was read. */
   leaving: boolean;
   /** Set when the registration is gone: the upstream serves on for a short time. */
@@ -65,6 +69,8 @@
   msPerPromptToken: 0,
   failureShare: 0,
   avoidUntilMs: 0,
+  coldUntilMs: nowMs + upstream.coldLeftMs,
+  coldSends: [],
   leaving: upstream.state === 'draining',
 });
 
@@ -82,6 +88,7 @@
         }
         known.upstream = upstream;
         known.registeredAtMs = nowMs;
+        known.coldUntilMs = nowMs + upstream.coldLeftMs;
         known.leaving = upstream.state === 'draining';
         known.goneAtMs = undefined;
         return known;
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,3 +1,4 @@
+export * from './cold-limit.js';
 export type * from './configuration.js';
 export * from './event-splitter.js';
 export * from './fleet.js';
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -60,10 +60,7 @@
  * Nodes tell each other what they have sent, which is known at once; the engine's own report is
  * older, and also contains what unknown nodes sent. The larger of both is taken.
  */
-export const expectedUse = (
-  member: FleetMember,
-  peerUse: Choice['peerUse'],
-): ExpectedUse => {
+export const expectedUse = (member: FleetMember, peerUse: Choice['peerUse']): ExpectedUse => {
   const own = ownUse(member);
   const peers = peerUse(member.upstream.id);
   return {
@@ -126,7 +123,8 @@
   const overflow = overflowMs * Math.max(0, memory - memoryLimitShare);
   const far = choice.near === undefined || choice.near === member.upstream.dataCentre ? 0 : farMs;
   return (
-    (wait + batch + far + fullMemoryMs * memory + overflow) * (1 + failureWeight * member.failureShare)
+    (wait + batch + far + fullMemoryMs * memory + overflow) *
+    (1 + failureWeight * member.failureShare)
   );
 };
 
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -13,7 +13,12 @@
 
 const mocha = new Mocha({ timeout: 60_000, reporter: 'spec', forbidOnly: true });
 const [only] = process.argv.slice(2);
-const folders = [...readdirSync('packages').sort().map((name) => `packages/${name}`), 'platform'];
+const folders = [
+  ...readdirSync('packages')
+    .sort()
+    .map((name) => `packages/${name}`),
+  'platform',
+];
 for (const folder of folders) {
   const dist = `${folder}/dist`;
   if (!existsSync(dist) || (only !== undefined && !folder.endsWith(only))) {
@@ -21,10 +26,7 @@
   }
   for (const file of readdirSync(dist, { recursive: true }).sort()) {
     // A compiled test whose source is gone is left over from an earlier build.
-    if (
-      file.endsWith('.test.js') &&
-      existsSync(`${folder}/src/${file.replace(/\.js$/, '.ts')}`)
-    ) {
+    if (file.endsWith('.test.js') && existsSync(`${folder}/src/${file.replace(/\.js$/, '.ts')}`)) {
       mocha.addFile(`${dist}/${file}`);
     }
   }
