--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -247,11 +247,14 @@
       platform.writeDirectory(found, settings.directoryLifeMs),
     );
 
+    const servers: Server[] = [front.server, readyServer, directoryServer];
     await listen(front.server, settings.listen.caller);
     await listen(readyServer, settings.listen.ready);
     await listen(directoryServer, settings.listen.directory);
     if (settings.listen.metrics !== undefined) {
-      await listen(createMetricsServer(metrics), settings.listen.metrics);
+      const metricsServer = createMetricsServer(metrics);
+      await listen(metricsServer, settings.listen.metrics);
+      servers.push(metricsServer);
     }
     log.event('started', { ...settings.listen, dataCentre: settings.dataCentre });
 
@@ -285,6 +288,10 @@
         peers.close();
         mirror.stop();
         await registration.end();
+        for (const server of servers) {
+          server.close();
+          server.closeAllConnections();
+        }
         platform.upstreams.close();
         store.close();
         log.close();
