--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,7 +3,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**'] },
   js.configs.recommended,
   {
     files: ['**/*.ts'],
