--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -10,6 +10,7 @@
 import { isLastResort, isReady, type Standby } from './standby.js';
 import { StreamLeg } from './stream-leg.js';
 import { StreamPlacement } from './stream-placement.js';
+import { StreamProgress } from './stream-progress.js';
 import type { AnswerHead, ExchangeFailure, RunCopy } from './upstream-client.js';
 
 /** A stream that is being served, as the part that moves streams sees it. */
@@ -32,7 +33,7 @@
 const longestWaitShare = 0.5;
 const roomCheckMs = 40;
 /** Engines that are full have room again after about this time. */
-const overloadRetryAfterMs = 2000;
+const overloadRetryAfterMs = 4000;
 /** Longest wait for a copy; engines that leave at short notice are gone by then. */
 const copyTimeoutMs = 2500;
 /** Tries to go on elsewhere before a stream is given up. */
@@ -53,6 +54,7 @@
     const { clock, log, metrics, client } = context;
     const { request, route, service, response } = call;
     const placement = StreamPlacement.create(context, call, engine);
+    const progress = StreamProgress.create(context, call);
     const budget = context.retryBudget(service.name);
     const tried = new Set<string>();
     /** Engines that had no room for a copy of this run. */
@@ -61,15 +63,9 @@
     let leg: StreamLeg | undefined;
     let standby: Standby | undefined;
     let headSent = false;
-    let lastEvent: string | undefined;
-    let events = 0;
-    let lastEventAtMs = call.arrivedAtMs;
-    let firstEventMs: number | undefined;
-    let longestGapMs = 0;
     let refusals = 0;
     let continuations = 0;
     let copying = false;
-    let movedAtMs: number | undefined;
 
     const note = (outcome: string, member?: FleetMember, detail?: string): void => {
       const nowMs = clock.monotonicMs();
@@ -78,7 +74,7 @@
         upstream: member?.upstream.id,
         outcome,
         detail,
-        events,
+        events: progress.events(),
         loadAgeMs: member === undefined ? undefined : Math.round(nowMs - member.engineLoadAtMs),
         usedTokens: member?.engineLoad?.usedTokens,
         afterMs: Math.round(nowMs - call.arrivedAtMs),
@@ -95,30 +91,10 @@
       );
     };
 
-    const noteEvent = (): void => {
-      const nowMs = clock.monotonicMs();
-      if (firstEventMs === undefined) {
-        firstEventMs = nowMs - call.arrivedAtMs;
-        metrics.firstEvent(route.name, firstEventMs);
-      } else {
-        longestGapMs = Math.max(longestGapMs, nowMs - lastEventAtMs);
-      }
-      if (movedAtMs !== undefined) {
-        metrics.moved('done', nowMs - movedAtMs);
-        movedAtMs = undefined;
-      }
-      events += 1;
-      lastEventAtMs = nowMs;
-    };
-
     const relay = (from: StreamLeg, event: StreamEvent): void => {
-      if (event.id !== undefined) {
-        if (lastEvent !== undefined && Number(event.id) <= Number(lastEvent)) {
-          return;
-        }
-        lastEvent = event.id;
+      if (!progress.accept(event)) {
+        return;
       }
-      noteEvent();
       response.write(event.bytes);
       if (response.writableNeedDrain) {
         from.pause();
@@ -132,11 +108,10 @@
       log.decision('stream complete', {
         request: request.id,
         upstream: ended.member.upstream.id,
-        events,
+        events: progress.events(),
         continuations,
-        firstEventMs: Math.round(firstEventMs ?? 0),
+        ...progress.summary(),
         firstEventGoalMs: route.goalMs,
-        longestGapMs: Math.round(longestGapMs),
         gapGoalMs: route.gapGoalMs,
       });
       call.finish('complete');
@@ -145,7 +120,7 @@
     /** The run goes on from a copy; what the copy lacks is read anew. */
     const continueAt = (holder: FleetMember, copy: RunCopy, reason: string): void => {
       note('switch', holder, reason);
-      movedAtMs ??= lastEventAtMs;
+      progress.noteMove();
       continuations += 1;
       start(holder, copy);
     };
@@ -201,7 +176,11 @@
 
     const start = (member: FleetMember, copy?: RunCopy): void => {
       const backup = engine.backups
-        ? placement.placeCopy(new Set([member.upstream.id]), events, maxBackupMemoryShare)
+        ? placement.placeCopy(
+            new Set([member.upstream.id]),
+            progress.events(),
+            maxBackupMemoryShare,
+          )
         : undefined;
       const next = StreamLeg.create(
         context,
@@ -209,9 +188,9 @@
         {
           member,
           backup,
-          continuation: copy === undefined ? undefined : { copy, afterEvent: lastEvent },
+          continuation: copy === undefined ? undefined : { copy, afterEvent: progress.lastEvent() },
           promptTokens: placement.promptTokens,
-          expectedTokens: placement.expectedTokens(events),
+          expectedTokens: placement.expectedTokens(progress.events()),
         },
         {
           onAccepted: (head) => {
@@ -262,12 +241,12 @@
       if (call.isOver()) {
         return;
       }
-      const member = placement.place(tried, events);
+      const member = placement.place(tried, progress.events());
       if (member === undefined) {
         refuse();
         return;
       }
-      if (!placement.fits(member, events)) {
+      if (!placement.fits(member, progress.events())) {
         waitForRoom(member);
         return;
       }
@@ -282,7 +261,7 @@
         requestId: request.id,
         sentAtMs: clock.monotonicMs(),
         promptTokens: 0,
-        expectedTokens: placement.expectedTokens(events),
+        expectedTokens: placement.expectedTokens(progress.events()),
         hasBegun: true,
         isBackup: true,
       });
@@ -316,7 +295,7 @@
 
     const moveByCopy = async (from: StreamLeg): Promise<void> => {
       const without = new Set([from.member.upstream.id, ...full]);
-      const target = placement.place(without, events, from.member.upstream.dataCentre);
+      const target = placement.place(without, progress.events(), from.member.upstream.dataCentre);
       if (target === undefined) {
         note('no engine to move to', from.member);
         full.clear();
@@ -377,7 +356,7 @@
         !call.isOver() &&
         leg?.isClosed() === false &&
         leg.firstEventAtMs() !== undefined,
-      expectedTokens: () => placement.expectedTokens(events),
+      expectedTokens: () => placement.expectedTokens(progress.events()),
       move,
     };
   },
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -2,7 +2,6 @@
 export interface GatewaySettings {
   readonly node: string;
   readonly dataCentre: string;
-  readonly region: string;
   /** Addresses to listen at, as IP:PORT. */
   readonly listen: {
     readonly caller: string;
@@ -12,8 +11,6 @@
     /** For the other nodes. */
     readonly nodes: string;
   };
-  /** Addresses of nodes to try when the store can't be reached; may be out of date. */
-  readonly seeds: readonly string[];
   readonly memoryBytes: number;
   /** Time from the order to stop until the process is killed. */
   readonly graceMs: number;
@@ -31,6 +28,4 @@
   /** A cold upstream may get this many times its stated rate, plus `coldSlack`, over all nodes. */
   readonly coldExcess: number;
   readonly coldSlack: number;
-  /** Longest wait that a refusal may ask for. */
-  readonly retryAfterMs: number;
 }
