Take the ports of tests and of nodes without a fixed one from below the outgoing range

A node with port 0 chose a port, closed it and listened on it seconds later; outgoing connections take ports from the same range.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,9 +1,9 @@
 import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import type { CallerServer } from '@zinniagrade/caller';
 import { listenForCallers } from '@zinniagrade/caller';
 import { Clock } from '@zinniagrade/clock';
 import type { DataPathReports, NodeControl } from '@zinniagrade/control';
+import { findFreePort } from '@zinniagrade/free-ports';
 import { Counters } from '@zinniagrade/logger';
 import type { Logger } from '@zinniagrade/logger';
 import { UpstreamClient, defaultUpstreamTimeouts } from '@zinniagrade/upstream';
@@ -50,16 +50,19 @@
   readonly close: () => Promise<void>;
 }
 
-/** Finds the port that the node will listen on; fails when it is in use. */
-const reservePort = async (host: string, port: number): Promise<number> => {
+/** The port that the node will listen on: the one of its settings, or a free one for port 0. */
+const choosePort = (host: string, port: number): Promise<number> =>
+  port === 0 ? findFreePort(host) : checkPort(host, port);
+
+/** Fails early when the port of the settings is in use. */
+const checkPort = async (host: string, port: number): Promise<number> => {
   const server = createServer();
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, host, resolve);
   });
-  const { port: found } = server.address() as AddressInfo;
   await new Promise((resolve) => server.close(resolve));
-  return found;
+  return port;
 };
 
 /**
@@ -103,7 +106,7 @@
     new Promise((resolve) => {
       clock.after(ms, resolve);
     });
-  const port = await reservePort(settings.host, settings.callerPort);
+  const port = await choosePort(settings.host, settings.callerPort);
   const control = await parts.createControl(dataPath.reports, port, counters, client.load);
   running.control = control;
   const waitUntil = clock.monotonicMs() + configurationWaitMs;
--- /dev/null
+++ b/packages/free-ports/src/index.ts
@@ -0,0 +1,1 @@
+export * from './find-free-port.js';
--- a/packages/proofs/src/processes/fleet.ts
+++ b/packages/proofs/src/processes/fleet.ts
@@ -1,7 +1,6 @@
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { Clock } from '@zinniagrade/clock';
 import { commitChangeSet } from '@zinniagrade/configuration';
+import { findFreePort } from '@zinniagrade/free-ports';
 import { Platform } from '@zinniagrade/platform';
 import type { Change, Configuration, Upstream } from '@zinniagrade/types';
 import { createConfiguration, createUpstream, nodeSecret, secret } from '../data-path/fixture.js';
@@ -44,14 +43,11 @@
 
 /** Finds ports that are free at this moment, so that nodes can name each other's links. */
 export const findFreePorts = async (count: number): Promise<readonly number[]> => {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports: number[] = [];
-  for (const server of servers) {
-    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-    ports.push((server.address() as AddressInfo).port);
+  const ports = new Set<number>();
+  while (ports.size < count) {
+    ports.add(await findFreePort('127.0.0.1'));
   }
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
+  return [...ports];
 };
 
 /** The changes that lead from an empty configuration to the given one. */
