--- a/packages/gateway/src/upstream-client.ts
+++ b/packages/gateway/src/upstream-client.ts
@@ -38,8 +38,6 @@
   /** The upstream closes the connection after this answer. */
   readonly closing: boolean;
   readonly load?: ServiceLoad;
-  /** Time that the caller asks to wait before another try, for a refusal. */
-  readonly retryAfterMs?: number;
 }
 
 export interface ExchangeFailure {
