Admit generations by memory with a reserve and by the expected first event

All nodes chose the same engine for the streams of a leaving one.

Change: a reserve as large as what leaves together, where that costs less than the losses; no generation begins whose first event would be late; refused callers get spread times to return; callers that come back may use half of the reserve; nodes act in turns on a leaving engine.

The decision on rollouts is added with its tests; nothing calls it yet.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -1,17 +1,11 @@
 import type { ServerResponse } from 'node:http';
 import type { Clock, Random } from '@zinniagrade/clock';
 import type { Failure } from '@zinniagrade/errors';
-import type {
-  ClientAccount,
-  FleetMember,
-  RetryBudget,
-  Route,
-  Service,
-  UpstreamUse,
-} from '@zinniagrade/serving';
+import type { ClientAccount, FleetMember, Route, Service, UpstreamUse } from '@zinniagrade/serving';
 import type { CallerRequest } from './caller-request.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
+import type { ServiceRecord } from './service-records.js';
 import type { UpstreamClient } from './upstream-client.js';
 import type { View } from './view.js';
 
@@ -23,7 +17,8 @@
   readonly metrics: Metrics;
   readonly view: View;
   readonly client: UpstreamClient;
-  readonly retryBudget: (service: string) => RetryBudget;
+  /** What this node has learned of a service. */
+  readonly recordOf: (service: string) => ServiceRecord;
   readonly nodeCount: () => number;
   /** Whether a request more may go to this upstream, by its version and its cold start. */
   readonly allows: (member: FleetMember) => boolean;
@@ -31,6 +26,8 @@
   readonly peerUse: (upstream: string) => UpstreamUse;
   /** Called after this node's requests at upstreams have changed. */
   readonly useChanged: () => void;
+  /** How long this node waits for others to act first on what all learn at once. */
+  readonly turnMs: () => number;
   /** Time left until this process ends, while it is leaving. */
   readonly leavesInMs: () => number | undefined;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import { createServer, type Server } from 'node:http';
 import { Random, type Clock } from '@zinniagrade/clock';
-import { bearsMore, RetryBudget, type FleetMember, type Route } from '@zinniagrade/serving';
+import { bearsMore, type FleetMember, type Route } from '@zinniagrade/serving';
 import type { ServingContext } from './call.js';
 import type { ReadCallerRequest } from './caller-request.js';
 import { chooseAddresses, createDirectoryServer } from './directory.js';
@@ -14,6 +14,7 @@
 import { OpenStream } from './open-stream.js';
 import { Registration } from './registration.js';
 import { serveCall } from './serve-call.js';
+import { ServiceRecords } from './service-records.js';
 import type { GatewaySettings } from './settings.js';
 import { StoreMirror } from './store-mirror.js';
 import { StreamMoves } from './stream-moves.js';
@@ -78,20 +79,10 @@
     const metrics = Metrics.create();
     const view = View.create(log);
     const random = Random.create(randomBytes(4).readInt32LE());
-    const budgets = new Map<string, RetryBudget>();
+    const records = ServiceRecords.create(settings.retries);
     let leavingSinceMs: number | undefined;
     let completeAtMs: number | undefined;
 
-    const budgetOf = (service: string): RetryBudget => {
-      const known = budgets.get(service);
-      if (known !== undefined) {
-        return known;
-      }
-      const budget = RetryBudget.create(settings.retries);
-      budgets.set(service, budget);
-      return budget;
-    };
-
     const leavesInMs = (): number | undefined =>
       leavingSinceMs === undefined
         ? undefined
@@ -136,11 +127,12 @@
       metrics,
       view,
       client: platform.upstreams,
-      retryBudget: budgetOf,
+      recordOf: records.of,
       nodeCount: () => Math.max(1, view.nodes.size),
       allows: bearsColdStart,
       peerUse: peers.peerUse,
       useChanged: peers.useChanged,
+      turnMs: peers.turnMs,
       leavesInMs,
     };
 
@@ -172,6 +164,11 @@
       },
     });
 
+    view.fleet.onLeave(({ upstream }) => {
+      const staying = view.fleet.ofService(upstream.service).filter((member) => !member.leaving);
+      const { departures } = records.of(upstream.service);
+      departures.note(clock.monotonicMs(), staying.length + 1);
+    });
     view.onChange((change) => {
       switch (change.kind) {
         case 'configuration':
@@ -271,7 +268,7 @@
     return {
       reload: (next) => {
         settings = next;
-        budgets.clear();
+        records.rebound(next.retries);
         log.event('reloaded', { graceMs: next.graceMs, retryRatio: next.retries.ratio });
       },
       leave: async () => {
--- a/packages/gateway/src/node-peers.ts
+++ b/packages/gateway/src/node-peers.ts
@@ -24,6 +24,8 @@
   readonly useChanged: () => void;
   readonly peerUse: (upstream: string) => UpstreamUse;
   readonly shareLoad: (upstream: string, load: EngineLoad) => void;
+  /** How long this node waits for others to act first on what all learn at once. */
+  readonly turnMs: () => number;
   /** Whether this node is the one that reads the load of an upstream. */
   readonly readsLoadOf: (upstream: string) => boolean;
   /** Asks the other nodes for what they know of the store. */
@@ -34,6 +36,10 @@
 
 /** A peer that knows more of the store for this long shows that this node's watch is behind. */
 const behindMs = 250;
+/** Nodes act in this many turns; with more nodes, few of one turn have streams at the same engine. */
+const turns = 8;
+/** A node's announcement has reached the others within this time. */
+const turnLengthMs = 9;
 /** Frames are bounded, so changes go out in parts of about this size. */
 const maxPartBytes = 128 * 1024;
 
@@ -153,6 +159,10 @@
       shareLoad: (upstream, load) => {
         links?.broadcast({ kind: 'load', upstream, ageMs: 0, load });
       },
+      turnMs: () => {
+        const before = connected().filter((node) => node < options.node).length;
+        return (before % turns) * turnLengthMs;
+      },
       readsLoadOf: (upstream) =>
         chooseByRendezvous(upstream, [options.node, ...connected()])[0] === options.node,
       pull: () => {
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -7,7 +7,9 @@
 } from '@zinniagrade/serving';
 import { beginStream, sendWhole } from './answers.js';
 import type { Call, ServingContext } from './call.js';
-import { isLastResort, isReady, type Standby } from './standby.js';
+import { RunMove } from './run-move.js';
+import { isLastResort, type Standby } from './standby.js';
+import { StreamAdmission } from './stream-admission.js';
 import { StreamLeg } from './stream-leg.js';
 import { StreamPlacement } from './stream-placement.js';
 import { StreamProgress } from './stream-progress.js';
@@ -29,19 +31,10 @@
 const avoidAfterFailureMs = 500;
 const maxRefusals = 4;
 const refusalRetryAfterMs = 600;
-/** Share of the latency objective for which a request waits for memory to become free. */
-const longestWaitShare = 0.5;
-const roomCheckMs = 40;
-/** Engines that are full have room again after about this time. */
-const overloadRetryAfterMs = 4000;
-/** Longest wait for a copy; engines that leave at short notice are gone by then. */
-const copyTimeoutMs = 2500;
 /** Tries to go on elsewhere before a stream is given up. */
 const maxContinuations = 8;
 /** Time from a run's first event until its prompt has certainly reached the holder of its backup. */
 const backupDelayMs = 1500;
-/** Time before another try to move where no engine had room. */
-const moveRetryMs = 60;
 /** Engines fuller than this hold no further backups: running requests need the rest. */
 const maxBackupMemoryShare = 0.85;
 
@@ -55,17 +48,14 @@
     const { request, route, service, response } = call;
     const placement = StreamPlacement.create(context, call, engine);
     const progress = StreamProgress.create(context, call);
-    const budget = context.retryBudget(service.name);
+    const admission = StreamAdmission.create(context, call, placement);
+    const { budget, departures, returnTimes } = context.recordOf(service.name);
     const tried = new Set<string>();
-    /** Engines that had no room for a copy of this run. */
-    const full = new Set<string>();
-    const moveKey = `${request.id}#copy`;
     let leg: StreamLeg | undefined;
     let standby: Standby | undefined;
     let headSent = false;
     let refusals = 0;
     let continuations = 0;
-    let copying = false;
 
     const note = (outcome: string, member?: FleetMember, detail?: string): void => {
       const nowMs = clock.monotonicMs();
@@ -103,7 +93,10 @@
     };
 
     const complete = (ended: StreamLeg, rest: Buffer): void => {
-      recordAnswer(ended.member, clock.monotonicMs() - ended.sentAtMs, false);
+      const nowMs = clock.monotonicMs();
+      recordAnswer(ended.member, nowMs - ended.sentAtMs, false);
+      departures.noteStream(nowMs - call.arrivedAtMs);
+      returnTimes.noteFreed(placement.expectedTokens(progress.events()), nowMs);
       response.end(rest);
       log.decision('stream complete', {
         request: request.id,
@@ -224,114 +217,27 @@
             };
     };
 
-    /** Engines free memory all the time; a request that can't begin in time is refused. */
-    const waitForRoom = (fullest: FleetMember): void => {
-      const waitedMs = clock.monotonicMs() - call.arrivedAtMs;
-      if (waitedMs > route.goalMs * longestWaitShare) {
-        note('no room', fullest);
-        call.fail(
-          Failure.create('overloaded', `engines of ${service.name} are full`, overloadRetryAfterMs),
-        );
-        return;
-      }
-      call.onOver(clock.after(roomCheckMs, begin));
-    };
-
     const begin = (): void => {
-      if (call.isOver()) {
-        return;
-      }
-      const member = placement.place(tried, progress.events());
-      if (member === undefined) {
-        refuse();
-        return;
-      }
-      if (!placement.fits(member, progress.events())) {
-        waitForRoom(member);
-        return;
-      }
-      tried.add(member.upstream.id);
-      note('sent', member);
-      start(member);
-    };
-
-    /** Copies the run's memory while it goes on. The holder's memory counts as used meanwhile. */
-    const copyTo = async (from: StreamLeg, target: FleetMember): Promise<RunCopy | undefined> => {
-      target.ownRuns.set(moveKey, {
-        requestId: request.id,
-        sentAtMs: clock.monotonicMs(),
-        promptTokens: 0,
-        expectedTokens: placement.expectedTokens(progress.events()),
-        hasBegun: true,
-        isBackup: true,
-      });
-      context.useChanged();
-      const askedAtMs = clock.monotonicMs();
-      const copied = await client.copyRun(
-        from.member.upstream,
-        request.id,
-        target.upstream,
-        false,
-        copyTimeoutMs,
-      );
-      note(
-        `copy: ${copied.outcome}`,
-        target,
-        `${String(Math.round(clock.monotonicMs() - askedAtMs))} ms`,
+      admission.request(
+        tried,
+        (member) => {
+          tried.add(member.upstream.id);
+          note('sent', member);
+          start(member);
+        },
+        (failure, reason) => {
+          note(reason);
+          call.fail(failure);
+        },
       );
-      if (copied.outcome === 'copied') {
-        if (!call.isOver() && !from.isClosed()) {
-          return copied.copy;
-        }
-        client.dropCopy(from.member.upstream, copied.copy);
-      }
-      if (copied.outcome === 'no-room') {
-        full.add(target.upstream.id);
-      }
-      target.ownRuns.delete(moveKey);
-      context.useChanged();
-      return undefined;
     };
 
-    const moveByCopy = async (from: StreamLeg): Promise<void> => {
-      const without = new Set([from.member.upstream.id, ...full]);
-      const target = placement.place(without, progress.events(), from.member.upstream.dataCentre);
-      if (target === undefined) {
-        note('no engine to move to', from.member);
-        full.clear();
-        await new Promise<void>((resolve) => {
-          clock.after(moveRetryMs, resolve);
-        });
-        return;
-      }
-      const copy = await copyTo(from, target);
-      if (copy !== undefined) {
-        target.ownRuns.delete(moveKey);
-        from.close();
-        continueAt(target, copy, 'copied');
-      }
-    };
-
-    const move = async (reason: string): Promise<void> => {
-      const from = leg;
-      if (from === undefined || copying || call.isOver()) {
-        return;
-      }
-      copying = true;
-      try {
-        if (
-          standby !== undefined &&
-          isReady(standby, context.view.withdrawn, clock.monotonicMs())
-        ) {
-          from.close();
-          continueAt(standby.holder, standby.copy, reason);
-        } else {
-          await moveByCopy(from);
-        }
-      } finally {
-        copying = false;
-      }
-    };
+    const moves = RunMove.create(context, call, placement, progress, {
+      leg: () => leg,
+      standby: () => standby,
+      continueAt,
+      note,
+    });
 
     call.onOver(() => {
       leg?.close();
@@ -352,12 +258,12 @@
       member: () => leg?.member,
       isMovable: () =>
         engine.movable &&
-        !copying &&
+        !moves.isCopying() &&
         !call.isOver() &&
         leg?.isClosed() === false &&
         leg.firstEventAtMs() !== undefined,
       expectedTokens: () => placement.expectedTokens(progress.events()),
-      move,
+      move: moves.move,
     };
   },
 };
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -40,7 +40,7 @@
   const idempotent = route.kind === 'idempotent';
   const excluded = new Set<string>();
   const attempts = new Set<Attempt>();
-  const budget = context.retryBudget(service.name);
+  const { budget } = context.recordOf(service.name);
   let runs = 0;
   let sends = 0;
   let refusals = 0;
--- a/packages/gateway/src/stream-moves.ts
+++ b/packages/gateway/src/stream-moves.ts
@@ -14,12 +14,16 @@
 const maxMovesPerEngine = 16;
 
 /** Engines that leave together are all known before the first move chooses where to go. */
-const gatherMs = 15;
+const gatherMs = 12;
 
 /** What is lost with the stream: long ones have cost most and are worth most. */
 const mostLostFirst = (a: OpenStream, b: OpenStream): number =>
   b.expectedTokens() - a.expectedTokens();
 
+/**
+ * Load pattern: all nodes learn at once that an engine leaves, and would choose the same engine for
+ * its streams. They act in turns, so that each knows what those before it have moved.
+ */
 export const StreamMoves = {
   create: (context: ServingContext): StreamMoves => {
     const streams = new Set<OpenStream>();
@@ -56,7 +60,7 @@
     const check = (): void => {
       if (!scheduled) {
         scheduled = true;
-        context.clock.after(gatherMs, checkNow);
+        context.clock.after(gatherMs + context.turnMs(), checkNow);
       }
     };
 
--- a/packages/gateway/src/stream-placement.ts
+++ b/packages/gateway/src/stream-placement.ts
@@ -1,7 +1,10 @@
 import {
+  admitGeneration,
   memoryShare,
   placeGeneration,
   runningShare,
+  type Admission,
+  type AdmissionLimits,
   type Choice,
   type Engine,
   type FleetMember,
@@ -14,14 +17,14 @@
   readonly promptTokens: number;
   /** Expected memory at the end of the stream, after this many events. */
   readonly expectedTokens: (events: number) => number;
+  /** Whether the stream may begin now, and where. */
+  readonly admit: (without: ReadonlySet<string>, limits: AdmissionLimits) => Admission;
   /** The best engine but for some; with a data centre, one that memory is copied to from there. */
   readonly place: (
     without: ReadonlySet<string>,
     events: number,
     near?: string,
   ) => FleetMember | undefined;
-  /** Whether the engine has memory for the whole request. */
-  readonly fits: (member: FleetMember, events: number) => boolean;
   /** An engine that stays below a memory share with a copy; undefined where a copy doesn't pay. */
   readonly placeCopy: (
     without: ReadonlySet<string>,
@@ -37,9 +40,6 @@
 const minCopiedOutputTokens = 48;
 /** No copies are begun where running requests need more than this share of all engines. */
 const maxRunningShare = 0.7;
-/** Engines fuller than this preempt requests, as lengths are only estimates. */
-const maxFilledShare = 1;
-const nothing: ReadonlySet<string> = new Set();
 
 const expectedOutput = (call: Call): number => {
   const { prompt } = call.request;
@@ -82,10 +82,16 @@
     return {
       promptTokens,
       expectedTokens: (events) => promptTokens + needAfter(events).outputTokens,
+      admit: (without, limits) =>
+        admitGeneration(
+          view.fleet.ofService(call.service.name),
+          needAfter(0),
+          engine.memoryTokens,
+          choice(without, undefined),
+          limits,
+          random,
+        ),
       place,
-      fits: (member, events) =>
-        memoryShare(member, needAfter(events), engine.memoryTokens, choice(nothing, undefined)) <
-        maxFilledShare,
       placeCopy: (without, events, maxMemoryShare, near) => {
         if (outputTokens < minCopiedOutputTokens) {
           return undefined;
--- a/packages/serving/src/fleet.ts
+++ b/packages/serving/src/fleet.ts
@@ -47,6 +47,10 @@
 export interface Fleet {
   readonly members: ReadonlyMap<string, FleetMember>;
   readonly register: (upstream: Upstream, nowMs: number) => FleetMember;
+  /** Takes the upstream out of the choice, as it said itself that it is leaving. */
+  readonly leave: (member: FleetMember) => void;
+  /** Called when an upstream begins to leave or is lost. */
+  readonly onLeave: (listener: (member: FleetMember) => void) => void;
   /** Takes the upstream out of the choice; forgets it when no own request is left there. */
   readonly remove: (id: string, nowMs: number) => void;
   readonly ofService: (service: string) => readonly FleetMember[];
@@ -77,8 +81,22 @@
 export const Fleet = {
   create: (): Fleet => {
     const members = new Map<string, FleetMember>();
+    const listeners: ((member: FleetMember) => void)[] = [];
+    const leave = (member: FleetMember): void => {
+      if (member.leaving) {
+        return;
+      }
+      member.leaving = true;
+      for (const listener of listeners) {
+        listener(member);
+      }
+    };
     return {
       members,
+      leave,
+      onLeave: (listener) => {
+        listeners.push(listener);
+      },
       register: (upstream, nowMs) => {
         const known = members.get(upstream.id);
         if (known === undefined) {
@@ -89,8 +107,12 @@
         known.upstream = upstream;
         known.registeredAtMs = nowMs;
         known.coldUntilMs = nowMs + upstream.coldLeftMs;
-        known.leaving = upstream.state === 'draining';
         known.goneAtMs = undefined;
+        if (upstream.state === 'draining') {
+          leave(known);
+        } else {
+          known.leaving = false;
+        }
         return known;
       },
       remove: (id, nowMs) => {
@@ -98,7 +120,7 @@
         if (member === undefined) {
           return;
         }
-        member.leaving = true;
+        leave(member);
         member.goneAtMs ??= nowMs;
         if (member.ownRuns.size === 0) {
           members.delete(id);
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,9 +1,14 @@
+export * from './admission.js';
 export * from './cold-limit.js';
 export type * from './configuration.js';
+export * from './departures.js';
 export * from './event-splitter.js';
 export * from './fleet.js';
 export * from './peer-use.js';
 export * from './placement.js';
 export * from './retry-budget.js';
+export * from './return-times.js';
+export * from './rollout.js';
 export * from './route-table.js';
+export * from './stated-waits.js';
 export type * from './upstream.js';
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -34,8 +34,8 @@
 const failureWeight = 8;
 /** Costs that differ by less than this share are decided at random, so that nodes spread. */
 const tieShare = 0.03;
-/** Used before the first event of an engine was seen; a typical engine reads 10 tokens a ms. */
-const defaultMsPerPromptToken = 0.1;
+/** Used before the first event of any engine was seen: 14 tokens a ms, every other step. */
+const defaultMsPerPromptToken = 0.14;
 /** An engine in full use slows each token; counted against the wait for the first event. */
 const fullBatchMs = 250;
 /** Engines near the end of their memory preempt requests; counted against the first event. */
@@ -107,18 +107,40 @@
   return total === 0 ? 1 : running / total;
 };
 
+/** Time for each waiting prompt token at engines whose own isn't known yet, in milliseconds. */
+export const typicalMsPerPromptToken = (members: readonly FleetMember[]): number => {
+  let sum = 0;
+  let known = 0;
+  for (const { msPerPromptToken } of members) {
+    sum += msPerPromptToken;
+    known += msPerPromptToken > 0 ? 1 : 0;
+  }
+  return known === 0 ? defaultMsPerPromptToken : sum / known;
+};
+
+/** Expected wait for the first event: all prompts that wait at the engine are read before. */
+export const expectedFirstEventMs = (
+  member: FleetMember,
+  need: GenerationNeed,
+  choice: Choice,
+  typicalMs: number,
+): number => {
+  const perToken = member.msPerPromptToken === 0 ? typicalMs : member.msPerPromptToken;
+  const waiting = expectedUse(member, choice.peerUse).promptTokens;
+  return (waiting + need.promptTokens) * perToken;
+};
+
 /** Expected wait for the first event, with what a crowded engine costs later, in milliseconds. */
 export const generationCost = (
   member: FleetMember,
   need: GenerationNeed,
   engineMemoryTokens: number,
   choice: Choice,
+  typicalMs: number,
 ): number => {
   const use = expectedUse(member, choice.peerUse);
   const memory = memoryShare(member, need, engineMemoryTokens, choice);
-  const perToken =
-    member.msPerPromptToken === 0 ? defaultMsPerPromptToken : member.msPerPromptToken;
-  const wait = (use.promptTokens + need.promptTokens) * perToken;
+  const wait = expectedFirstEventMs(member, need, choice, typicalMs);
   const batch = (fullBatchMs * use.requests) / Math.max(1, member.upstream.slots);
   const overflow = overflowMs * Math.max(0, memory - memoryLimitShare);
   const far = choice.near === undefined || choice.near === member.upstream.dataCentre ? 0 : farMs;
@@ -156,12 +178,14 @@
   engineMemoryTokens: number,
   choice: Choice,
   random: Random,
-): FleetMember | undefined =>
-  least(
+): FleetMember | undefined => {
+  const typicalMs = typicalMsPerPromptToken(members);
+  return least(
     members.filter((member) => isUsable(member, choice)),
-    (member) => generationCost(member, need, engineMemoryTokens, choice),
+    (member) => generationCost(member, need, engineMemoryTokens, choice, typicalMs),
     random,
   );
+};
 
 /** Load pattern: short calls to a few upstreams of which some are slow or fail in part. */
 export const placeCall = (
