Speak over relays, let a few nodes follow the store, and carry out rollouts

Orders to move traffic were read and not acted on.

Change: with more than 16 nodes each data centre has two relays, chosen by capacity; other nodes speak with these only. Three nodes follow the store for all and pass changes on; a node that hears of fewer than two followers follows it itself. Uses of upstreams are summed as they arrive instead of at each choice. Rollouts: nodes exchange their counts, judge the version alike (packages/moves), move streams off the old version and write the status in turns under a revision.

Ruled out: longer gathering of announcements (changes of one node are rarely together).

--- a/packages/frames/src/frame-connection.ts
+++ b/packages/frames/src/frame-connection.ts
@@ -14,6 +14,8 @@
   readonly peer: PeerName;
   /** False when the frame was not taken: too large, or the connection is closed or far behind. */
   readonly send: (message: unknown) => boolean;
+  /** Like `send`, for a frame that goes to several peers and was encoded once. */
+  readonly sendEncoded: (frame: Buffer) => boolean;
   readonly close: () => void;
   readonly bytesSent: () => number;
   readonly bytesReceived: () => number;
@@ -90,16 +92,16 @@
   let failure: Failure | undefined;
   socket.setNoDelay(true);
 
+  const writeFrame = (frame: Buffer): boolean => {
+    if (socket.destroyed || socket.writableLength >= maxBufferedBytes) {
+      return false;
+    }
+    socket.write(frame);
+    return true;
+  };
+
   const write = (message: unknown): boolean =>
-    !socket.destroyed &&
-    socket.writableLength < maxBufferedBytes &&
-    encodeFrame(message).caseOf({
-      Left: () => false,
-      Right: (frame) => {
-        socket.write(frame);
-        return true;
-      },
-    });
+    encodeFrame(message).caseOf({ Left: () => false, Right: writeFrame });
 
   const fail = (detail: string): void => {
     failure ??= Failure.create('protocol-violation', detail);
@@ -118,14 +120,21 @@
 
   const open = (hello: Hello): void => {
     clearTimeout(timer);
+    const cutIfBehind = (): void => {
+      if (!socket.destroyed && socket.writableLength >= maxBufferedBytes) {
+        fail(`peer ${hello.name} does not read`);
+      }
+    };
     connection = {
       peer: hello.name,
       send: (message) => {
-        if (!socket.destroyed && socket.writableLength >= maxBufferedBytes) {
-          fail(`peer ${hello.name} does not read`);
-        }
+        cutIfBehind();
         return write(message);
       },
+      sendEncoded: (frame) => {
+        cutIfBehind();
+        return writeFrame(frame);
+      },
       close: () => {
         socket.end();
         socket.destroySoon();
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -5,6 +5,7 @@
 import type { CallerRequest } from './caller-request.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
+import type { Rollouts } from './rollouts.js';
 import type { ServiceRecord } from './service-records.js';
 import type { UpstreamClient } from './upstream-client.js';
 import type { View } from './view.js';
@@ -20,8 +21,10 @@
   /** What this node has learned of a service. */
   readonly recordOf: (service: string) => ServiceRecord;
   readonly nodeCount: () => number;
-  /** Whether a request more may go to this upstream, by its version and its cold start. */
+  /** Whether a request more may go to this upstream, by its cold start. */
   readonly allows: (member: FleetMember) => boolean;
+  /** Moves of services' traffic to other versions. */
+  readonly rollouts: Rollouts;
   /** What the other nodes have at an upstream. */
   readonly peerUse: (upstream: string) => UpstreamUse;
   /** Called after this node's requests at upstreams have changed. */
@@ -40,6 +43,8 @@
   readonly route: Route;
   readonly service: Service;
   readonly account?: ClientAccount;
+  /** Whether an upstream may get the request, by its version. */
+  readonly permits: (member: FleetMember) => boolean;
   readonly arrivedAtMs: number;
   /** When the caller stops waiting. */
   readonly callerEndsAtMs: number;
--- a/packages/gateway/src/directory.test.ts
+++ b/packages/gateway/src/directory.test.ts
@@ -6,11 +6,11 @@
   ownAddress: '10.0.0.1:80',
   ready: true,
   nodes: [
-    { node: 'n1', dataCentre: 'a', callerAddress: '10.0.0.1:80', leaving: false },
-    { node: 'n2', dataCentre: 'a', callerAddress: '10.0.0.2:80', leaving: false },
-    { node: 'n3', dataCentre: 'b', callerAddress: '10.0.0.3:80', leaving: true },
+    { node: 'n1', dataCentre: 'a', callerAddress: '10.0.0.1:80', leaving: false, capacity: 1 },
+    { node: 'n2', dataCentre: 'a', callerAddress: '10.0.0.2:80', leaving: false, capacity: 1 },
+    { node: 'n3', dataCentre: 'b', callerAddress: '10.0.0.3:80', leaving: true, capacity: 1 },
   ],
-  connected: ['n2', 'n3'],
+  connected: new Set(['n2', 'n3']),
   linksSettled: true,
   ...part,
 });
@@ -21,11 +21,11 @@
   });
 
   it('leaves out a dead node whose registration is kept while the store is away', () => {
-    expect(chooseAddresses(createState({ connected: [] }))).to.deep.equal(['10.0.0.1:80']);
+    expect(chooseAddresses(createState({ connected: new Set() }))).to.deep.equal(['10.0.0.1:80']);
   });
 
   it('goes by registrations alone until the links can be open', () => {
-    const state = createState({ connected: [], linksSettled: false });
+    const state = createState({ connected: new Set(), linksSettled: false });
     expect(chooseAddresses(state)).to.deep.equal(['10.0.0.1:80', '10.0.0.2:80']);
   });
 
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -9,7 +9,7 @@
   readonly ready: boolean;
   readonly nodes: Iterable<NodeEntry>;
   /** Nodes that this one hears from. */
-  readonly connected: readonly string[];
+  readonly connected: ReadonlySet<string>;
   /** Links need this long to open after the start; until then registrations count alone. */
   readonly linksSettled: boolean;
 }
@@ -19,13 +19,12 @@
  * registration outlives it while the store is away.
  */
 export const chooseAddresses = (state: DirectoryState): readonly string[] => {
-  const connected = new Set(state.connected);
   const addresses = new Set<string>();
   if (state.ready) {
     addresses.add(state.ownAddress);
   }
   for (const entry of state.nodes) {
-    const alive = connected.has(entry.node) || !state.linksSettled;
+    const alive = state.connected.has(entry.node) || !state.linksSettled;
     if (entry.node !== state.node && !entry.leaving && alive) {
       addresses.add(entry.callerAddress);
     }
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -128,6 +128,7 @@
         route,
         service,
         ...(account === undefined ? {} : { account }),
+        permits: context.rollouts.draw(service.name),
         arrivedAtMs,
         callerEndsAtMs,
         endsAtMs: Math.min(callerEndsAtMs, arrivedAtMs + route.timeoutMs),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,13 +13,14 @@
 import { NodePeers } from './node-peers.js';
 import { OpenStream } from './open-stream.js';
 import { Registration } from './registration.js';
+import { Rollouts } from './rollouts.js';
 import { serveCall } from './serve-call.js';
 import { ServiceRecords } from './service-records.js';
 import type { GatewaySettings } from './settings.js';
 import { StoreMirror } from './store-mirror.js';
 import { StreamMoves } from './stream-moves.js';
 import type { UpstreamClient } from './upstream-client.js';
-import { View, type Change, type NodeEntry } from './view.js';
+import { View, type Change, type NodeEntry, type RolloutStatus } from './view.js';
 
 /** What the gateway needs of the platform that it runs on. */
 export interface Platform {
@@ -36,6 +37,8 @@
   readonly returnsAfterOutage: (key: string) => boolean;
   readonly nodeKey: (node: string) => string;
   readonly writeNode: (entry: NodeEntry) => Buffer;
+  readonly rolloutStatusKey: (service: string) => string;
+  readonly writeRolloutStatus: (status: RolloutStatus) => Buffer;
   /** Writes the addresses of nodes in the form that callers read. */
   readonly writeDirectory: (addresses: readonly string[], lifeMs: number) => Buffer;
 }
@@ -89,12 +92,19 @@
         : Math.max(0, leavingSinceMs + settings.graceMs - lastMomentMs - clock.monotonicMs());
 
     const peers: NodePeers = NodePeers.create(clock, log, view, {
-      node: settings.node,
+      place: {
+        node: settings.node,
+        dataCentre: settings.dataCentre,
+        capacity: settings.capacity,
+      },
       address: settings.listen.nodes,
       mirror: () => mirror,
       onLoad: (upstream, load, readAtMs) => {
         polling.take(upstream, load, readAtMs);
       },
+      onReport: (node, service, report) => {
+        rollouts.takeReport(node, service, report);
+      },
     });
 
     const mirror: StoreMirror = StoreMirror.create(store, clock, log, {
@@ -105,6 +115,8 @@
         view.apply(platform.readChange(key, value), revision, clock.monotonicMs());
       },
       whileLost: peers.pull,
+      followsStore: peers.followsStore,
+      onNew: peers.pushChanges,
     });
 
     const bearsColdStart = (member: FleetMember): boolean =>
@@ -120,6 +132,24 @@
         clock.monotonicMs(),
       );
 
+    const rollouts: Rollouts = Rollouts.create(clock, random, log, view, {
+      node: settings.node,
+      alive: peers.alive,
+      peerUse: peers.peerUse,
+      share: peers.shareReport,
+      writeStatus: (status, revision) => {
+        const key = platform.rolloutStatusKey(status.service);
+        return store.commit({
+          expected: new Map([[key, revision]]),
+          writes: [{ key, value: platform.writeRolloutStatus(status) }],
+          removals: [],
+        });
+      },
+      onSuperseded: () => {
+        moves.check();
+      },
+    });
+
     const context: ServingContext = {
       clock,
       random,
@@ -130,13 +160,14 @@
       recordOf: records.of,
       nodeCount: () => Math.max(1, view.nodes.size),
       allows: bearsColdStart,
+      rollouts,
       peerUse: peers.peerUse,
       useChanged: peers.useChanged,
       turnMs: peers.turnMs,
       leavesInMs,
     };
 
-    const moves = StreamMoves.create(context);
+    const moves: StreamMoves = StreamMoves.create(context);
     const polling: LoadPolling = LoadPolling.create(context, {
       reads: peers.readsLoadOf,
       share: peers.shareLoad,
@@ -187,6 +218,7 @@
       dataCentre: settings.dataCentre,
       callerAddress: settings.listen.caller,
       nodeAddress: settings.listen.nodes,
+      capacity: settings.capacity,
       leaving: leavingSinceMs !== undefined,
     });
     const registration = Registration.create(
@@ -236,7 +268,7 @@
         ownAddress: settings.listen.caller,
         ready: isReady(),
         nodes: view.nodes.values(),
-        connected: peers.connected(),
+        connected: peers.alive(),
         linksSettled:
           completeAtMs !== undefined && clock.monotonicMs() - completeAtMs > linksSettleMs,
       });
@@ -282,6 +314,7 @@
         log.event('stopped', { open: front.openRequests() });
         stopTicks();
         polling.stop();
+        rollouts.stop();
         peers.close();
         mirror.stop();
         await registration.end();
--- a/packages/gateway/src/load-polling.ts
+++ b/packages/gateway/src/load-polling.ts
@@ -3,7 +3,7 @@
 
 export interface LoadPollingOptions {
   /** Whether this node is the one that reads the load of an upstream. */
-  readonly reads: (upstream: string) => boolean;
+  readonly reads: (upstream: string, dataCentre: string) => boolean;
   /** Passes a load on to the other nodes. */
   readonly share: (upstream: string, load: EngineLoad) => void;
   readonly onLoad: (member: FleetMember) => void;
@@ -69,9 +69,14 @@
     const pollAll = (): void => {
       const configuration = view.configuration();
       for (const member of view.fleet.members.values()) {
-        const { id, service } = member.upstream;
+        const { id, service, dataCentre } = member.upstream;
         const isEngine = configuration?.services.get(service)?.engine !== undefined;
-        if (isEngine && member.goneAtMs === undefined && !asking.has(id) && options.reads(id)) {
+        if (
+          isEngine &&
+          member.goneAtMs === undefined &&
+          !asking.has(id) &&
+          options.reads(id, dataCentre)
+        ) {
           ask(member).catch((error: unknown) => {
             log.event('load polling failed', { reason: String(error) });
           });
--- a/packages/gateway/src/node-links.ts
+++ b/packages/gateway/src/node-links.ts
@@ -1,12 +1,13 @@
 import type { Clock } from '@zinniagrade/clock';
 import {
   connectFrames,
+  encodeFrame,
   listenFrames,
   type ConnectionEvents,
   type FrameConnection,
 } from '@zinniagrade/frames';
 import type { Log } from './log.js';
-import { readNodeMessage, type NodeMessage } from './node-message.js';
+import { readNodeMessage, writeNodeMessage, type NodeMessage } from './node-message.js';
 import type { NodeEntry } from './view.js';
 
 export interface NodeLinkOptions {
@@ -15,16 +16,17 @@
   readonly address: string;
   /** Known to all nodes and to nobody else. */
   readonly secret: string;
-  /** Nodes that are registered now. */
+  /** Nodes to keep a connection with. */
   readonly peers: () => Iterable<NodeEntry>;
   readonly onMessage: (node: string, message: NodeMessage) => void;
+  readonly onOpen: (node: string) => void;
   readonly onLost: (node: string) => void;
 }
 
-/** Connections to the other nodes, one for each pair. */
+/** Connections to other nodes, one for each pair. */
 export interface NodeLinks {
-  readonly broadcast: (message: NodeMessage) => void;
-  readonly send: (node: string, message: NodeMessage) => void;
+  /** Sends one message to several nodes; those without a connection are passed over. */
+  readonly send: (nodes: readonly string[], message: NodeMessage) => void;
   /** Nodes that were heard of lately. */
   readonly connected: () => readonly string[];
   readonly close: () => void;
@@ -64,6 +66,7 @@
         links.get(connection.peer)?.connection.close();
         links.set(connection.peer, { connection, heardAtMs: clock.monotonicMs() });
         log.event('node link open', { to: connection.peer });
+        options.onOpen(connection.peer);
       },
       onMessage: (connection, document) => {
         const link = links.get(connection.peer);
@@ -119,13 +122,18 @@
     check();
 
     return {
-      broadcast: (message) => {
-        for (const { connection } of links.values()) {
-          connection.send(message);
-        }
-      },
-      send: (node, message) => {
-        links.get(node)?.connection.send(message);
+      send: (nodes, message) => {
+        const frame = encodeFrame(writeNodeMessage(message));
+        frame.caseOf({
+          Left: ({ detail }) => {
+            log.event('message to nodes not sent', { reason: detail, kind: message.kind });
+          },
+          Right: (bytes) => {
+            for (const node of nodes) {
+              links.get(node)?.connection.sendEncoded(bytes);
+            }
+          },
+        });
       },
       connected: () => [...links.keys()],
       close: () => {
--- a/packages/gateway/src/node-peers.ts
+++ b/packages/gateway/src/node-peers.ts
@@ -1,20 +1,29 @@
 import type { Clock } from '@zinniagrade/clock';
 import { chooseByRendezvous } from '@zinniagrade/membership';
-import { PeerUse, type EngineLoad, type UpstreamUse } from '@zinniagrade/serving';
+import {
+  ownUse,
+  PeerUse,
+  Topology,
+  type EngineLoad,
+  type NodePlace,
+  type RolloutReport,
+  type UpstreamUse,
+} from '@zinniagrade/serving';
 import type { Log } from './log.js';
+import { NodeExchange } from './node-exchange.js';
 import { NodeLinks } from './node-links.js';
 import type { NodeMessage, RelayedItem } from './node-message.js';
 import type { StoreMirror } from './store-mirror.js';
-import { UseAnnouncements } from './use-announcements.js';
-import type { View } from './view.js';
+import type { NodeEntry, View } from './view.js';
 
 export interface NodePeersOptions {
-  readonly node: string;
+  readonly place: NodePlace;
   /** Address for other nodes, as IP:PORT. */
   readonly address: string;
   readonly mirror: () => StoreMirror;
   /** Called with a load that another node has read, and when it was read. */
   readonly onLoad: (upstream: string, load: EngineLoad, readAtMs: number) => void;
+  readonly onReport: (node: string, service: string, report: RolloutReport) => void;
 }
 
 /** What the nodes share without the store: use of upstreams, engine loads, and the store's state. */
@@ -24,13 +33,19 @@
   readonly useChanged: () => void;
   readonly peerUse: (upstream: string) => UpstreamUse;
   readonly shareLoad: (upstream: string, load: EngineLoad) => void;
+  readonly shareReport: (service: string, report: RolloutReport) => void;
   /** How long this node waits for others to act first on what all learn at once. */
   readonly turnMs: () => number;
   /** Whether this node is the one that reads the load of an upstream. */
-  readonly readsLoadOf: (upstream: string) => boolean;
+  readonly readsLoadOf: (upstream: string, dataCentre: string) => boolean;
+  /** Whether this node follows the store itself, or learns of changes from nodes that do. */
+  readonly followsStore: () => boolean;
   /** Asks the other nodes for what they know of the store. */
   readonly pull: () => void;
-  readonly connected: () => readonly string[];
+  /** Passes changes in the store on to nodes that don't follow it. */
+  readonly pushChanges: (items: readonly RelayedItem[], revision: number) => void;
+  /** Other nodes that are heard of. */
+  readonly alive: () => ReadonlySet<string>;
   readonly close: () => void;
 }
 
@@ -42,6 +57,15 @@
 const turnLengthMs = 9;
 /** Frames are bounded, so changes go out in parts of about this size. */
 const maxPartBytes = 128 * 1024;
+/** Changes within this time go out together; relays wait longer, as they have more to say. */
+const gatherMs = 4;
+const relayGatherMs = 20;
+/** Also shows the other nodes that this one lives. */
+const heartbeatMs = 500;
+/** Nodes that follow the store for all: one may be cut off and one may die at the same time. */
+const storeFollowers = 3;
+/** With fewer other nodes that follow the store, a node does so itself. */
+const minOtherFollowers = 2;
 
 const partsOf = (items: readonly RelayedItem[]): readonly (readonly RelayedItem[])[] => {
   const parts: RelayedItem[][] = [];
@@ -61,24 +85,100 @@
   return parts;
 };
 
+const placeOf = ({ node, dataCentre, capacity }: NodeEntry): NodePlace => ({
+  node,
+  dataCentre,
+  capacity,
+});
+
 export const NodePeers = {
   create: (clock: Clock, log: Log, view: View, options: NodePeersOptions): NodePeers => {
+    const { place } = options;
     const peerUse = PeerUse.create();
+    let topology = Topology.create(place, []);
     let links: NodeLinks | undefined;
     let opening = false;
     let closed = false;
+    let scheduled = false;
 
-    const answerPull = (node: string, after: number): void => {
-      const mirror = options.mirror();
-      const revision = mirror.revision();
-      if (revision <= after) {
+    const otherEntries = function* () {
+      for (const entry of view.nodes.values()) {
+        if (entry.node !== place.node) {
+          yield entry;
+        }
+      }
+    };
+
+    view.onChange((change) => {
+      if (change.kind === 'node') {
+        const staying = [...otherEntries()].filter(({ leaving }) => !leaving);
+        topology = Topology.create(place, staying.map(placeOf));
+      }
+    });
+
+    const ownUses = (): readonly UpstreamUse[] => {
+      const uses: UpstreamUse[] = [];
+      for (const member of view.fleet.members.values()) {
+        if (member.ownRuns.size > 0) {
+          uses.push(ownUse(member));
+        }
+      }
+      return uses;
+    };
+
+    const linked = (): readonly string[] => links?.connected() ?? [];
+
+    const exchange = NodeExchange.create({
+      node: place.node,
+      dataCentre: place.dataCentre,
+      incarnation: Date.now(),
+      nowMs: clock.monotonicMs,
+      topology: () => topology,
+      linked,
+      send: (nodes, message) => links?.send(nodes, message),
+      ownUses,
+      storeAccess: () => options.mirror().access(),
+      revision: () => options.mirror().revision(),
+      onState: ({ node, uses }) => {
+        peerUse.update(node, uses);
+      },
+      onLoad: options.onLoad,
+      onReport: options.onReport,
+      onGone: peerUse.forget,
+    });
+
+    const isRelay = (): boolean => !topology.isMesh && topology.relays.includes(place.node);
+
+    const schedule = (): void => {
+      if (scheduled || !exchange.hasNews()) {
         return;
       }
-      const parts = partsOf(mirror.changesAfter(after));
-      for (const [index, items] of parts.entries()) {
+      scheduled = true;
+      clock.after(isRelay() ? relayGatherMs : gatherMs, () => {
+        scheduled = false;
+        exchange.flush();
+      });
+    };
+    const stopHeartbeat = clock.every(heartbeatMs, exchange.heartbeat);
+
+    const sendChanges = (
+      nodes: readonly string[],
+      items: readonly RelayedItem[],
+      revision: number,
+    ): void => {
+      const parts = partsOf(items);
+      for (const [index, part] of parts.entries()) {
         // Only the last part says that all changes up to the revision were sent.
         const upTo = index === parts.length - 1 ? revision : 0;
-        links?.send(node, { kind: 'changes', items, revision: upTo });
+        links?.send(nodes, { kind: 'changes', items: part, revision: upTo });
+      }
+    };
+
+    const answerPull = (node: string, after: number): void => {
+      const mirror = options.mirror();
+      const revision = mirror.revision();
+      if (revision > after) {
+        sendChanges([node], mirror.changesAfter(after), revision);
       }
     };
 
@@ -89,50 +189,54 @@
       clock.after(behindMs, () => {
         const known = options.mirror().revision();
         if (known < revision) {
-          links?.send(node, { kind: 'pull', after: known });
+          links?.send([node], { kind: 'pull', after: known });
         }
       });
     };
 
+    const takeChanges = (from: string, items: readonly RelayedItem[], revision: number): void => {
+      const fresh = options.mirror().takeOver(items, revision);
+      if (fresh.length > 0 && isRelay()) {
+        const others = linked().filter((node) => node !== from);
+        sendChanges(others, fresh, revision);
+      }
+    };
+
     const onMessage = (node: string, message: NodeMessage): void => {
       switch (message.kind) {
-        case 'use':
-          peerUse.update(node, message.uses, clock.monotonicMs());
+        case 'state':
+          exchange.receive(node, message);
           checkBehind(node, message.revision);
-          return;
-        case 'load':
-          options.onLoad(message.upstream, message.load, clock.monotonicMs() - message.ageMs);
+          if (isRelay()) {
+            schedule();
+          }
           return;
         case 'pull':
           answerPull(node, message.after);
           return;
         case 'changes':
-          options.mirror().takeOver(message.items, message.revision);
-      }
-    };
-
-    const otherNodes = function* () {
-      for (const entry of view.nodes.values()) {
-        if (entry.node !== options.node) {
-          yield entry;
-        }
+          takeChanges(node, message.items, message.revision);
       }
     };
 
-    const announcements = UseAnnouncements.create(clock, view.fleet, (uses) => {
-      links?.broadcast({ kind: 'use', uses, revision: options.mirror().revision() });
-    });
-
     const open = async (secret: string): Promise<void> => {
       const created = await NodeLinks.create(clock, log, {
-        node: options.node,
+        node: place.node,
         address: options.address,
         secret,
-        peers: otherNodes,
+        peers: function* () {
+          for (const entry of otherEntries()) {
+            if (topology.neighbours.has(entry.node)) {
+              yield entry;
+            }
+          }
+        },
         onMessage,
-        onLost: (node) => {
-          peerUse.forget(node);
+        onOpen: () => {
+          exchange.onLinkOpen();
+          schedule();
         },
+        onLost: exchange.onLinkLost,
       });
       if (closed) {
         created.close();
@@ -141,7 +245,27 @@
       links = created;
     };
 
-    const connected = (): readonly string[] => links?.connected() ?? [];
+    /** Where there are relays they follow the store, as they pass its changes on. */
+    const followsStore = (): boolean => {
+      const heard = exchange.alive();
+      const states = exchange.statesOf();
+      const candidates = topology.relays.filter(
+        (node) => node !== place.node && heard.has(node) && states.get(node)?.store !== 'lost',
+      );
+      let otherFollowers = 0;
+      for (const node of heard) {
+        otherFollowers += states.get(node)?.store === 'watching' ? 1 : 0;
+      }
+      if (otherFollowers < minOtherFollowers) {
+        return true;
+      }
+      return (
+        topology.relays.includes(place.node) &&
+        chooseByRendezvous('store', [place.node, ...candidates], storeFollowers).includes(
+          place.node,
+        )
+      );
+    };
 
     return {
       open: (secret) => {
@@ -154,24 +278,46 @@
           log.event('node links not opened', { reason: String(error) });
         });
       },
-      useChanged: announcements.changed,
-      peerUse: (upstream) => peerUse.at(upstream, clock.monotonicMs()),
+      useChanged: () => {
+        exchange.changed();
+        schedule();
+      },
+      peerUse: peerUse.at,
       shareLoad: (upstream, load) => {
-        links?.broadcast({ kind: 'load', upstream, ageMs: 0, load });
+        exchange.shareLoad(upstream, load);
+        schedule();
+      },
+      shareReport: (service, report) => {
+        exchange.shareReport(service, report);
+        schedule();
       },
       turnMs: () => {
-        const before = connected().filter((node) => node < options.node).length;
+        let before = 0;
+        for (const node of exchange.alive()) {
+          before += node < place.node ? 1 : 0;
+        }
         return (before % turns) * turnLengthMs;
       },
-      readsLoadOf: (upstream) =>
-        chooseByRendezvous(upstream, [options.node, ...connected()])[0] === options.node,
+      readsLoadOf: (upstream, dataCentre) => {
+        const heard = exchange.alive();
+        const isAlive = (node: string): boolean => node === place.node || heard.has(node);
+        const near = topology.relaysOf(dataCentre).filter(isAlive);
+        const readers = near.length > 0 ? near : topology.relays.filter(isAlive);
+        return chooseByRendezvous(upstream, readers)[0] === place.node;
+      },
+      followsStore,
       pull: () => {
-        links?.broadcast({ kind: 'pull', after: options.mirror().revision() });
+        links?.send(linked(), { kind: 'pull', after: options.mirror().revision() });
+      },
+      pushChanges: (items, revision) => {
+        if (items.length > 0) {
+          sendChanges(linked(), items, revision);
+        }
       },
-      connected,
+      alive: exchange.alive,
       close: () => {
         closed = true;
-        announcements.stop();
+        stopHeartbeat();
         links?.close();
       },
     };
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -92,9 +92,23 @@
       }
     };
 
+    const record = (ended: StreamLeg, tookMs: number, failed: boolean): void => {
+      recordAnswer(ended.member, tookMs, failed);
+      const pace = ended.pace();
+      context.rollouts.observe({
+        member: ended.member,
+        route: route.name,
+        failed,
+        ...(pace.firstEventMs === undefined ? {} : { firstEventMs: pace.firstEventMs }),
+        ...(pace.betweenEventsMs === undefined
+          ? {}
+          : { betweenTokensMs: pace.betweenEventsMs / Math.max(1, engine.tokensPerEvent) }),
+      });
+    };
+
     const complete = (ended: StreamLeg, rest: Buffer): void => {
       const nowMs = clock.monotonicMs();
-      recordAnswer(ended.member, nowMs - ended.sentAtMs, false);
+      record(ended, nowMs - ended.sentAtMs, false);
       departures.noteStream(nowMs - call.arrivedAtMs);
       returnTimes.noteFreed(placement.expectedTokens(progress.events()), nowMs);
       response.end(rest);
@@ -147,7 +161,7 @@
         tryAnother();
         return;
       }
-      recordAnswer(ended.member, 0, true);
+      record(ended, 0, true);
       if (head.notRun || headSent || !head.matches) {
         recover(`answered with status ${String(head.status)}`);
         return;
@@ -157,7 +171,7 @@
     };
 
     const onFailure = (ended: StreamLeg, failure: ExchangeFailure): void => {
-      recordAnswer(ended.member, 0, true);
+      record(ended, 0, true);
       note(failure.sent ? 'connection lost' : 'not reached', ended.member, failure.reason);
       if (failure.sent || ended.continued) {
         recover(failure.reason);
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -50,7 +50,7 @@
     nowMs: clock.monotonicMs(),
     excluded,
     withdrawn: context.view.withdrawn,
-    allows: context.allows,
+    allows: (member) => context.allows(member) && call.permits(member),
     peerUse: context.peerUse,
   });
 
@@ -65,6 +65,11 @@
     });
   };
 
+  const record = (member: FleetMember, latencyMs: number, failed: boolean): void => {
+    recordAnswer(member, latencyMs, failed);
+    context.rollouts.observe({ member, route: route.name, failed, firstEventMs: latencyMs });
+  };
+
   const giveUp = (): void => {
     if (failedAnswer !== undefined) {
       sendWhole(call.response, failedAnswer.head, failedAnswer.body);
@@ -115,13 +120,13 @@
     }
     runs += 1;
     if (!head.matches || !head.sealed) {
-      recordAnswer(member, latencyMs, true);
+      record(member, latencyMs, true);
       note(head.matches ? 'unsealed answer' : 'answer to another request', member, head.status);
       goOn(true);
       return;
     }
     const failed = head.status >= 500;
-    recordAnswer(member, latencyMs, failed);
+    record(member, latencyMs, failed);
     if (failed && idempotent) {
       failedAnswer = { head, body };
       note('upstream error', member, head.status);
@@ -134,7 +139,7 @@
   };
 
   const onFailure = (member: FleetMember, failure: ExchangeFailure): void => {
-    recordAnswer(member, 0, true);
+    record(member, 0, true);
     note(failure.sent ? 'connection lost' : 'not reached', member, failure.reason);
     if (!failure.sent) {
       member.avoidUntilMs = clock.monotonicMs() + avoidAfterFailureMs;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -12,6 +12,8 @@
     readonly nodes: string;
   };
   readonly memoryBytes: number;
+  /** Processor cores that the process may use. */
+  readonly capacity: number;
   /** Time from the order to stop until the process is killed. */
   readonly graceMs: number;
   /** How long callers may keep an answer of the directory. */
--- a/packages/gateway/src/store-mirror.ts
+++ b/packages/gateway/src/store-mirror.ts
@@ -2,7 +2,7 @@
 import type { Log } from './log.js';
 import type { MetadataStore, Revision } from './metadata-store.js';
 import { MirrorItems } from './mirror-items.js';
-import type { RelayedItem } from './node-message.js';
+import type { RelayedItem, StoreAccess } from './node-message.js';
 
 /** What the mirror is to follow, and what it calls. */
 export interface MirrorOptions {
@@ -15,9 +15,15 @@
   readonly registrationReturnMs: number;
   /** Called at an interval while the store doesn't answer this node. */
   readonly whileLost: () => void;
+  /** Whether this node follows the store itself, or learns of its changes from other nodes. */
+  readonly followsStore: () => boolean;
+  /** Called with changes that were new to this node and came from the store. */
+  readonly onNew: (changes: readonly RelayedItem[], revision: Revision) => void;
 }
 
-/** Follows all keys below a prefix. It keeps the last state while the store can't be reached. */
+/**
+ * Follows all keys below a prefix. Load pattern: each change of the store wakes every watch, so only
+ * a few nodes watch, and the others are told by them. It keeps the last state while the store can't be reached. */
 export interface StoreMirror {
   /** True once the whole state was read, from the store or from another node. */
   readonly isComplete: () => boolean;
@@ -25,8 +31,9 @@
   readonly revision: () => Revision;
   /** Changes after a revision, for another node. */
   readonly changesAfter: (revision: Revision) => readonly RelayedItem[];
-  /** Takes over what another node knows. */
-  readonly takeOver: (items: readonly RelayedItem[], revision: Revision) => void;
+  /** Takes over what another node knows, and returns what was new. */
+  readonly takeOver: (items: readonly RelayedItem[], revision: Revision) => readonly RelayedItem[];
+  readonly access: () => StoreAccess;
   readonly stop: () => void;
 }
 
@@ -34,6 +41,8 @@
 const watchWaitMs = 3000;
 const firstRetryMs = 100;
 const maxRetryMs = 800;
+/** Interval at which a node that is told of changes checks whether it still is. */
+const feedCheckMs = 100;
 
 export const StoreMirror = {
   create: (store: MetadataStore, clock: Clock, log: Log, options: MirrorOptions): StoreMirror => {
@@ -46,46 +55,52 @@
     let lostAtMs: number | undefined;
     let regainedAtMs = -Infinity;
     let retryMs = firstRetryMs;
+    let following = false;
 
-    const applyValue = (key: string, value: Buffer, revision: Revision): void => {
+    /** False where the value isn't newer than what is known; likewise below. */
+    const applyValue = (key: string, value: Buffer, revision: Revision): boolean => {
       heldRemovals.delete(key);
-      if (known.set(key, value, revision)) {
+      const isNew = known.set(key, value, revision);
+      if (isNew) {
         options.onChange(key, value, revision);
       }
+      return isNew;
     };
 
-    const remove = (key: string, revision: Revision): void => {
+    const remove = (key: string, revision: Revision): boolean => {
       heldRemovals.delete(key);
-      if (known.remove(key, revision)) {
+      const isNew = known.remove(key, revision);
+      if (isNew) {
         options.onChange(key, undefined, revision);
       }
+      return isNew;
     };
 
     const releaseHeld = (): void => {
+      const released: RelayedItem[] = [];
       for (const [key, revision] of heldRemovals) {
         log.event('registration lapsed with the store', { key, revision });
-        remove(key, revision);
+        if (remove(key, revision)) {
+          released.push({ key, revision });
+        }
       }
+      options.onNew(released, knownRevision);
     };
 
-    const applyRemoval = (key: string, revision: Revision): void => {
+    const applyRemoval = (key: string, revision: Revision): boolean => {
       const waitMs = regainedAtMs + options.registrationReturnMs - clock.monotonicMs();
       if (waitMs > 0 && options.returnsAfterOutage(key)) {
         heldRemovals.set(key, revision);
-        return;
+        return false;
       }
-      remove(key, revision);
+      return remove(key, revision);
     };
 
-    const applyAll = (changes: readonly RelayedItem[]): void => {
-      for (const { key, value, revision } of changes) {
-        if (value === undefined) {
-          applyRemoval(key, revision);
-        } else {
-          applyValue(key, value, revision);
-        }
-      }
-    };
+    /** Returns what was new. */
+    const applyAll = (changes: readonly RelayedItem[]): readonly RelayedItem[] =>
+      changes.filter(({ key, value, revision }) =>
+        value === undefined ? applyRemoval(key, revision) : applyValue(key, value, revision),
+      );
 
     const noteAnswer = (): void => {
       retryMs = firstRetryMs;
@@ -124,13 +139,15 @@
       noteAnswer();
       const { items, revision } = listing.unsafeCoerce();
       const present = new Set(items.map(({ key }) => key));
-      applyAll(items);
-      for (const key of known.keys()) {
-        if (!present.has(key)) {
-          applyRemoval(key, revision);
-        }
-      }
+      const removals = known
+        .keys()
+        .filter((key) => !present.has(key))
+        .map((key) => ({ key, revision }));
+      const fresh = applyAll([...items, ...removals]);
       advance(revision);
+      if (complete) {
+        options.onNew(fresh, revision);
+      }
       complete = true;
     };
 
@@ -139,8 +156,8 @@
       switch (outcome.outcome) {
         case 'events':
           noteAnswer();
-          applyAll(outcome.events);
           advance(Math.max(after, outcome.revision));
+          options.onNew(applyAll(outcome.events), knownRevision);
           return;
         case 'history-lost':
           noteAnswer();
@@ -152,9 +169,22 @@
       }
     };
 
+    const waitWhileFed = async (): Promise<void> => {
+      following = false;
+      await new Promise<void>((resolve) => {
+        clock.after(feedCheckMs, resolve);
+      });
+      position = knownRevision;
+    };
+
     const run = async (): Promise<void> => {
       while (!stopped) {
+        if (complete && lostAtMs === undefined && !options.followsStore()) {
+          await waitWhileFed();
+          continue;
+        }
         await (position === undefined ? listAll() : follow(position));
+        following = lostAtMs === undefined;
       }
     };
     run().catch((error: unknown) => {
@@ -167,13 +197,15 @@
       revision: () => knownRevision,
       changesAfter: (revision) => known.after(revision),
       takeOver: (items, revision) => {
-        applyAll(items);
-        if (revision > knownRevision) {
+        const fresh = applyAll(items);
+        if (lostAtMs !== undefined && revision > knownRevision) {
           log.event('state taken over from a node', { revision, before: knownRevision });
-          knownRevision = revision;
         }
+        knownRevision = Math.max(knownRevision, revision);
         complete ||= revision > 0;
+        return fresh;
       },
+      access: () => (lostAtMs !== undefined ? 'lost' : following ? 'watching' : 'fed'),
       stop: () => {
         stopped = true;
       },
--- a/packages/gateway/src/stream-leg.ts
+++ b/packages/gateway/src/stream-leg.ts
@@ -38,6 +38,8 @@
   readonly sentAtMs: number;
   readonly continued: boolean;
   readonly firstEventAtMs: () => number | undefined;
+  /** Figures of a leg that began the stream: time to its first event and mean time between events. */
+  readonly pace: () => { readonly firstEventMs?: number; readonly betweenEventsMs?: number };
   readonly isClosed: () => boolean;
   /** Closes the connection, which stops the engine. No handler is called after it. */
   readonly close: () => void;
@@ -64,6 +66,8 @@
     const splitter = EventSplitter.create();
     const otherBody: Buffer[] = [];
     let firstEventAtMs: number | undefined;
+    let lastEventAtMs = 0;
+    let events = 0;
     let head: AnswerHead | undefined;
     let closed = false;
 
@@ -130,6 +134,8 @@
             if (firstEventAtMs === undefined) {
               onFirstEvent();
             }
+            events += 1;
+            lastEventAtMs = clock.monotonicMs();
             handlers.onEvent(event);
           }
         },
@@ -157,6 +163,14 @@
       sentAtMs,
       continued: continuation !== undefined,
       firstEventAtMs: () => firstEventAtMs,
+      pace: () => ({
+        ...(firstEventAtMs === undefined || continuation !== undefined
+          ? {}
+          : { firstEventMs: firstEventAtMs - sentAtMs }),
+        ...(firstEventAtMs === undefined || events < 2
+          ? {}
+          : { betweenEventsMs: (lastEventAtMs - firstEventAtMs) / (events - 1) }),
+      }),
       isClosed: () => closed,
       close: () => {
         if (release()) {
--- a/packages/gateway/src/stream-moves.ts
+++ b/packages/gateway/src/stream-moves.ts
@@ -30,6 +30,9 @@
     const moving = new Map<string, number>();
     let scheduled = false;
 
+    const hasToLeave = (member: FleetMember | undefined): boolean =>
+      member !== undefined && (member.leaving || context.rollouts.isSuperseded(member));
+
     const begin = (stream: OpenStream, member: FleetMember): void => {
       const { id } = member.upstream;
       moving.set(id, (moving.get(id) ?? 0) + 1);
@@ -45,7 +48,7 @@
 
     const checkNow = (): void => {
       scheduled = false;
-      const leaving = [...streams].filter((stream) => stream.member()?.leaving === true);
+      const leaving = [...streams].filter((stream) => hasToLeave(stream.member()));
       for (const stream of leaving.sort(mostLostFirst)) {
         const member = stream.member();
         if (member === undefined || !stream.isMovable()) {
--- a/packages/gateway/src/stream-placement.ts
+++ b/packages/gateway/src/stream-placement.ts
@@ -65,7 +65,7 @@
       nowMs: clock.monotonicMs(),
       excluded,
       withdrawn: view.withdrawn,
-      allows: context.allows,
+      allows: (member) => context.allows(member) && call.permits(member),
       peerUse: context.peerUse,
       ...(near === undefined ? {} : { near }),
     });
--- a/packages/gateway/src/view.ts
+++ b/packages/gateway/src/view.ts
@@ -1,4 +1,11 @@
-import { Fleet, RouteTable, type Configuration, type Upstream } from '@zinniagrade/serving';
+import {
+  Fleet,
+  RouteTable,
+  type Configuration,
+  type Rollout,
+  type RolloutState,
+  type Upstream,
+} from '@zinniagrade/serving';
 import type { Log } from './log.js';
 
 /** Another node, as it registered itself. */
@@ -9,24 +16,23 @@
   readonly callerAddress: string;
   /** Address for other nodes, as IP:PORT. */
   readonly nodeAddress?: string;
+  /** Processor cores that it may use. */
+  readonly capacity: number;
   readonly leaving: boolean;
 }
 
-/** An order to move the traffic of a service to another version. */
-export interface Rollout {
-  readonly service: string;
-  readonly target: string;
-  readonly durationMs: number;
-}
-
-export type RolloutState = 'running' | 'completed' | 'rolled-back';
-
 export interface RolloutStatus {
   readonly service: string;
   readonly target: string;
   readonly state: RolloutState;
 }
 
+/** A status as the store has it. */
+export interface StoredStatus {
+  readonly status: RolloutStatus;
+  readonly revision: number;
+}
+
 /** What a change of one key in the store means. Entries that can't be read are `unreadable`. */
 export type Change =
   | { readonly kind: 'configuration'; readonly configuration: Configuration }
@@ -49,7 +55,7 @@
   readonly nodes: ReadonlyMap<string, NodeEntry>;
   readonly withdrawn: ReadonlySet<string>;
   readonly rollouts: ReadonlyMap<string, Rollout>;
-  readonly rolloutStatuses: ReadonlyMap<string, RolloutStatus>;
+  readonly rolloutStatuses: ReadonlyMap<string, StoredStatus>;
   readonly configuration: () => Configuration | undefined;
   readonly routes: () => RouteTable | undefined;
   /** By which nodes know each other. */
@@ -65,7 +71,7 @@
     const nodes = new Map<string, NodeEntry>();
     const withdrawn = new Set<string>();
     const rollouts = new Map<string, Rollout>();
-    const rolloutStatuses = new Map<string, RolloutStatus>();
+    const rolloutStatuses = new Map<string, StoredStatus>();
     const listeners: ((change: Change) => void)[] = [];
     let configuration: Configuration | undefined;
     let routes: RouteTable | undefined;
@@ -150,7 +156,17 @@
           });
           break;
         case 'rollout-status':
-          setOrDelete(rolloutStatuses, change.service, change.status);
+          setOrDelete(
+            rolloutStatuses,
+            change.service,
+            change.status === undefined ? undefined : { status: change.status, revision },
+          );
+          log.event('rollout state', {
+            service: change.service,
+            target: change.status?.target,
+            state: change.status?.state,
+            revision,
+          });
           break;
         case 'node':
           setOrDelete(nodes, change.node, change.entry);
--- a/packages/serving/src/admission.test.ts
+++ b/packages/serving/src/admission.test.ts
@@ -39,7 +39,7 @@
   excluded: new Set(),
   withdrawn: new Set(),
   allows: () => true,
-  peerUse: (upstream) => peers.at(upstream, 100),
+  peerUse: (upstream) => peers.at(upstream),
 };
 
 /** Sends requests until one isn't admitted; the count of those that were. */
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -11,4 +11,5 @@
 export * from './rollout.js';
 export * from './route-table.js';
 export * from './stated-waits.js';
+export * from './topology.js';
 export type * from './upstream.js';
--- a/packages/serving/src/peer-use.ts
+++ b/packages/serving/src/peer-use.ts
@@ -14,49 +14,62 @@
 
 /** What the other nodes have at the upstreams, as they last said. */
 export interface PeerUse {
-  readonly update: (node: string, uses: readonly UpstreamUse[], nowMs: number) => void;
+  /** Replaces what a node has. */
+  readonly update: (node: string, uses: readonly UpstreamUse[]) => void;
+  /** A node that isn't heard of any more has lost its connections to upstreams too. */
   readonly forget: (node: string) => void;
-  /** The sum over all other nodes that were heard of lately. */
-  readonly at: (upstream: string, nowMs: number) => UpstreamUse;
+  /** The sum over all other nodes. */
+  readonly at: (upstream: string) => UpstreamUse;
 }
 
-interface Snapshot {
-  readonly uses: ReadonlyMap<string, UpstreamUse>;
-  readonly atMs: number;
-}
-
-/** A node that isn't heard of for this long has lost its connections to upstreams too. */
-const lifeMs = 3000;
+const unused = (upstream: string): UpstreamUse => ({
+  upstream,
+  requests: 0,
+  promptTokens: 0,
+  memoryTokens: 0,
+  copyTokens: 0,
+});
 
+/** Sums are kept up to date with each announcement: they are read for every engine at each choice. */
 export const PeerUse = {
   create: (): PeerUse => {
-    const snapshots = new Map<string, Snapshot>();
+    const usesOf = new Map<string, readonly UpstreamUse[]>();
+    const sums = new Map<string, UpstreamUse>();
+
+    const add = (use: UpstreamUse, sign: 1 | -1): void => {
+      const { upstream } = use;
+      const before = sums.get(upstream) ?? unused(upstream);
+      const sum: UpstreamUse = {
+        upstream,
+        requests: before.requests + sign * use.requests,
+        promptTokens: before.promptTokens + sign * use.promptTokens,
+        memoryTokens: before.memoryTokens + sign * use.memoryTokens,
+        copyTokens: before.copyTokens + sign * use.copyTokens,
+      };
+      if (sum.requests === 0 && sum.memoryTokens === 0) {
+        sums.delete(upstream);
+      } else {
+        sums.set(upstream, sum);
+      }
+    };
+
+    const forget = (node: string): void => {
+      for (const use of usesOf.get(node) ?? []) {
+        add(use, -1);
+      }
+      usesOf.delete(node);
+    };
+
     return {
-      update: (node, uses, nowMs) => {
-        snapshots.set(node, {
-          uses: new Map(uses.map((use) => [use.upstream, use])),
-          atMs: nowMs,
-        });
-      },
-      forget: (node) => {
-        snapshots.delete(node);
-      },
-      at: (upstream, nowMs) => {
-        let requests = 0;
-        let promptTokens = 0;
-        let memoryTokens = 0;
-        let copyTokens = 0;
-        for (const { uses, atMs } of snapshots.values()) {
-          const use = nowMs - atMs > lifeMs ? undefined : uses.get(upstream);
-          if (use !== undefined) {
-            requests += use.requests;
-            promptTokens += use.promptTokens;
-            memoryTokens += use.memoryTokens;
-            copyTokens += use.copyTokens;
-          }
+      update: (node, uses) => {
+        forget(node);
+        usesOf.set(node, uses);
+        for (const use of uses) {
+          add(use, 1);
         }
-        return { upstream, requests, promptTokens, memoryTokens, copyTokens };
       },
+      forget,
+      at: (upstream) => sums.get(upstream) ?? unused(upstream),
     };
   },
 };
--- a/packages/serving/src/placement.test.ts
+++ b/packages/serving/src/placement.test.ts
@@ -40,7 +40,7 @@
   excluded: new Set(),
   withdrawn: new Set(),
   allows: () => true,
-  peerUse: (upstream) => peers.at(upstream, 100),
+  peerUse: (upstream) => peers.at(upstream),
   ...part,
 });
 
@@ -74,7 +74,7 @@
       }
       for (const [other, use] of peers.entries()) {
         if (other !== node) {
-          use.update(String(node), members.map(ownUse), 100);
+          use.update(String(node), members.map(ownUse));
         }
       }
     }
--- /dev/null
+++ b/packages/serving/src/topology.test.ts
@@ -0,0 +1,58 @@
+import { expect } from 'chai';
+import { Topology, type NodePlace } from './topology.js';
+
+const createNodes = (count: number, dataCentres: number): readonly NodePlace[] =>
+  Array.from({ length: count }, (_, index) => ({
+    node: `n${String(index).padStart(3, '0')}`,
+    dataCentre: `d${String(index % dataCentres)}`,
+    capacity: index >= count - dataCentres ? 1.35 : 0.3,
+  }));
+
+const topologyOf = (nodes: readonly NodePlace[], index: number): Topology => {
+  const own = nodes[index];
+  if (own === undefined) {
+    throw new Error('no such node');
+  }
+  return Topology.create(own, nodes);
+};
+
+describe('topology', () => {
+  it('connects few nodes with each other', () => {
+    const nodes = createNodes(8, 3);
+    const { isMesh, neighbours } = topologyOf(nodes, 0);
+    expect(isMesh).to.equal(true);
+    expect(neighbours.size).to.equal(7);
+  });
+
+  it('keeps the connections of a node few where there are many nodes', () => {
+    // Load pattern: 87 nodes that announce each request to all others spent a tenth of their
+    // processor time on it.
+    const nodes = createNodes(87, 4);
+    for (const [index, { dataCentre }] of nodes.entries()) {
+      const { isMesh, neighbours, relaysOf } = topologyOf(nodes, index);
+      expect(isMesh).to.equal(false);
+      const isRelay = relaysOf(dataCentre).includes(nodes[index]?.node ?? '');
+      expect(neighbours.size).to.be.at.most(isRelay ? 22 + 6 : 2);
+    }
+  });
+
+  it('takes the largest nodes as relays, the same at every node', () => {
+    const nodes = createNodes(87, 4);
+    const first = topologyOf(nodes, 0);
+    for (const dataCentre of first.dataCentres) {
+      expect(first.relaysOf(dataCentre)).to.deep.equal(topologyOf(nodes, 50).relaysOf(dataCentre));
+      const [relay] = first.relaysOf(dataCentre);
+      expect(nodes.find(({ node }) => node === relay)?.capacity).to.equal(1.35);
+    }
+  });
+
+  it('lets both ends of a connection agree on it', () => {
+    const nodes = createNodes(87, 4);
+    const topologies = new Map(nodes.map(({ node }, index) => [node, topologyOf(nodes, index)]));
+    for (const [node, { neighbours }] of topologies) {
+      for (const neighbour of neighbours) {
+        expect(topologies.get(neighbour)?.neighbours.has(node)).to.equal(true);
+      }
+    }
+  });
+});
--- a/packages/serving/src/upstream.ts
+++ b/packages/serving/src/upstream.ts
@@ -14,13 +14,6 @@
   readonly coldLeftMs: number;
 }
 
-/** A running request, as an engine reports it. */
-export interface ReportedRun {
-  readonly requestId: string;
-  readonly memoryTokens: number;
-  readonly events: number;
-}
-
 /** Load of an engine as it was some hundred milliseconds before it was asked. */
 export interface EngineLoad {
   readonly running: number;
@@ -31,9 +24,6 @@
   readonly leaving: boolean;
   /** Time until it stops, where it is known. */
   readonly leavesInMs?: number;
-  readonly runs: readonly ReportedRun[];
-  /** Start of the engine's process, in Unix milliseconds. */
-  readonly startedAt: number;
 }
 
 /** Load of a plain upstream at the time of its last answer. */
