Bound connections by the number of nodes, prefer near engines, and halve the bundle

Cause: each node could open 64 connections to an upstream that accepts 602 from all 87.

Change: a node's share of an upstream's connections follows from the number of nodes; an engine of another data centre counts 40 ms more for a new stream; the bundle leaves out undici's fetch and mocks and zod's other languages (1,831 to 901 KB).

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -12,6 +12,8 @@
 
 /** What serving a request needs of the process. */
 export interface ServingContext {
+  /** Data centre of this node. */
+  readonly dataCentre: string;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -71,6 +71,10 @@
 const sweepIntervalMs = 1000;
 /** Time from the first state to open links with all nodes. */
 const linksSettleMs = 2500;
+/** Part of the connections that upstreams accept; nodes that just died may still hold theirs. */
+const usedConnectionShare = 0.8;
+/** A few streams with a copy each, and a load report. */
+const minConnections = 8;
 /** Nodes start together; one of them writes the secret and the others read it. */
 const secretSpreadMs = 300;
 const secretBytes = 16;
@@ -151,6 +155,7 @@
     });
 
     const context: ServingContext = {
+      dataCentre: settings.dataCentre,
       clock,
       random,
       log,
@@ -244,11 +249,20 @@
       }
     };
 
+    /** Upstreams count the connections of all nodes together. */
+    const limitConnections = (): void => {
+      for (const { name, maxConnections } of view.configuration()?.services.values() ?? []) {
+        const share = (usedConnectionShare * maxConnections) / context.nodeCount();
+        platform.upstreams.limitConnections(name, Math.max(minConnections, Math.floor(share)));
+      }
+    };
+
     const tick = (): void => {
       if (mirror.isComplete()) {
         completeAtMs ??= clock.monotonicMs();
       }
       writeSecret();
+      limitConnections();
       view.fleet.sweep();
       const addresses = new Set<string>();
       for (const member of view.fleet.members.values()) {
--- a/packages/gateway/src/stream-placement.ts
+++ b/packages/gateway/src/stream-placement.ts
@@ -34,6 +34,10 @@
   ) => FleetMember | undefined;
 }
 
+/** Copies between data centres take twice as long. */
+const farCopyMs = 200;
+/** Bytes between data centres cost more; a stream that begins later than it could costs most. */
+const farStartMs = 40;
 /** Output that is expected of a request without a hint, as a share of its limit. */
 const defaultOutputShare = 0.5;
 /** Shorter outputs are over before a copy would pay. */
@@ -61,7 +65,7 @@
       outputTokens: Math.max(outputTokens, events * engine.tokensPerEvent),
     });
 
-    const choice = (excluded: ReadonlySet<string>, near: string | undefined): Choice => ({
+    const choice = (excluded: ReadonlySet<string>, near: Choice['near']): Choice => ({
       nowMs: clock.monotonicMs(),
       excluded,
       withdrawn: view.withdrawn,
@@ -70,12 +74,15 @@
       ...(near === undefined ? {} : { near }),
     });
 
+    const nearTo = (dataCentre: string | undefined): Choice['near'] =>
+      dataCentre === undefined ? undefined : { dataCentre, farMs: farCopyMs };
+
     const place: StreamPlacement['place'] = (without, events, near) =>
       placeGeneration(
         view.fleet.ofService(call.service.name),
         needAfter(events),
         engine.memoryTokens,
-        choice(without, near),
+        choice(without, nearTo(near)),
         random,
       );
 
@@ -87,7 +94,7 @@
           view.fleet.ofService(call.service.name),
           needAfter(0),
           engine.memoryTokens,
-          choice(without, undefined),
+          choice(without, { dataCentre: context.dataCentre, farMs: farStartMs }),
           limits,
           random,
         ),
@@ -100,7 +107,7 @@
         if (holder === undefined) {
           return undefined;
         }
-        const limits = choice(without, near);
+        const limits = choice(without, nearTo(near));
         const members = view.fleet.ofService(call.service.name);
         const share = memoryShare(holder, needAfter(events), engine.memoryTokens, limits);
         return share < maxMemoryShare &&
--- a/packages/gateway/src/upstream-client.ts
+++ b/packages/gateway/src/upstream-client.ts
@@ -88,6 +88,8 @@
   readonly dropCopy: (source: Upstream, copy: RunCopy) => void;
   /** The copy that an engine keeps as the backup of a run. */
   readonly backupOf: (holder: Upstream, requestId: string) => RunCopy;
+  /** Bounds the connections of this node to each upstream of a service. */
+  readonly limitConnections: (service: string, limit: number) => void;
   /** Closes idle connections to addresses other than these. */
   readonly retain: (addresses: ReadonlySet<string>) => void;
   readonly close: () => void;
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -17,8 +17,8 @@
   readonly withdrawn: ReadonlySet<string>;
   /** Whether traffic may go to an upstream of this version. */
   readonly allows: (member: FleetMember) => boolean;
-  /** Data centre that memory is copied from, for a move: copies between data centres are slower. */
-  readonly near?: string;
+  /** Data centre that is preferred, and what another one costs, in milliseconds of waiting. */
+  readonly near?: { readonly dataCentre: string; readonly farMs: number };
   /** What the other nodes have at an upstream. */
   readonly peerUse: (upstream: string) => UpstreamUse;
 }
@@ -40,8 +40,6 @@
 const fullBatchMs = 250;
 /** Engines near the end of their memory preempt requests; counted against the first event. */
 const fullMemoryMs = 400;
-/** Cost of a copy between data centres. */
-const farMs = 200;
 /** Memory use from which preemption is likely, as lengths are only estimates. */
 const memoryLimitShare = 0.92;
 /** Cost of memory over the limit, for each share of the memory: a preempted stream is late. */
@@ -143,7 +141,8 @@
   const wait = expectedFirstEventMs(member, need, choice, typicalMs);
   const batch = (fullBatchMs * use.requests) / Math.max(1, member.upstream.slots);
   const overflow = overflowMs * Math.max(0, memory - memoryLimitShare);
-  const far = choice.near === undefined || choice.near === member.upstream.dataCentre ? 0 : farMs;
+  const { near } = choice;
+  const far = near === undefined || near.dataCentre === member.upstream.dataCentre ? 0 : near.farMs;
   return (
     (wait + batch + far + fullMemoryMs * memory + overflow) *
     (1 + failureWeight * member.failureShare)
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -13,6 +13,20 @@
   },
 };
 
+/** Leaves out what no program uses of its libraries; each start reads and compiles the rest. */
+const smallerLibraries = {
+  name: 'smaller-libraries',
+  setup: ({ onResolve }) => {
+    onResolve({ filter: /^undici$/ }, () => ({
+      path: `${process.cwd()}/scripts/undici-parts.mjs`,
+    }));
+    // Messages in other languages.
+    onResolve({ filter: /^\.\.\/locales\/index\.js$/ }, ({ resolveDir }) => ({
+      path: `${resolveDir}/../locales/en.js`,
+    }));
+  },
+};
+
 await build({
   entryPoints: { gateway: 'platform/src/main.ts' },
   outdir: 'target',
@@ -21,10 +35,10 @@
   platform: 'node',
   format: 'esm',
   target: 'node20',
-  plugins: [workspaceSources],
-  // Less to read at each start; names stay, so that stack traces can be read.
-  minifyWhitespace: true,
-  minifySyntax: true,
+  plugins: [workspaceSources, smallerLibraries],
+  // Less to read at each start; names of functions stay, so that stack traces can be read.
+  minify: true,
+  keepNames: true,
   // Some dependencies are CommonJS and load Node's own modules with require.
   banner: {
     js: "import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);",
--- /dev/null
+++ b/scripts/undici-parts.mjs
@@ -0,0 +1,11 @@
+// The parts of undici that the gateway uses. Its whole index also loads fetch, WebSocket and mocks,
+// which take a third of the time that a start spends on reading code.
+import api from 'undici/lib/api/index.js';
+import buildConnector from 'undici/lib/core/connect.js';
+import Client from 'undici/lib/dispatcher/client.js';
+import Dispatcher from 'undici/lib/dispatcher/dispatcher.js';
+import Pool from 'undici/lib/dispatcher/pool.js';
+
+Object.assign(Dispatcher.prototype, api);
+
+export { buildConnector, Client, Pool };
