Bound the log lines that wait for a reader

Cause: standard output keeps all that its reader doesn't take in memory, without a bound. docs/platform.md had it open whether a reader that stops holds the process up: it doesn't on Node.js 20 here (2 MB into a pipe that nobody reads: the loop turned after 93 ms), so blocking is ruled out and only the memory was at fault.

Change: one write at a time is under way outside the loop; lines that wait are bounded to 256 KB and what is dropped is counted in a line. Writes that were taken in part or not at all are gone on with. The test floods a pipe that nobody reads.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 export type * from './caller-request.js';
 export * from './gateway.js';
+export * from './line-output.js';
 export * from './log.js';
 export type * from './metadata-store.js';
 export type * from './settings.js';
--- a/packages/gateway/src/log.ts
+++ b/packages/gateway/src/log.ts
@@ -1,10 +1,11 @@
 import winston from 'winston';
+import type { LineOutput } from './line-output.js';
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
 /**
  * Structured lines on standard output. `event` is for what changes the node's view or concerns the
- * process; `decision` is for a request and is bounded in volume.
+ * process; `decision` is for a request. Both are bounded in volume and never wait for a reader.
  */
 export interface Log {
   readonly event: (name: string, fields?: LogFields) => void;
@@ -52,18 +53,18 @@
 const suppressedReportMs = 5000;
 
 export const Log = {
-  create: (node: string, nowMs: () => number, stream: NodeJS.WritableStream): Log => {
+  create: (node: string, nowMs: () => number, output: LineOutput): Log => {
     const logger = winston.createLogger({
       defaultMeta: { node },
       format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
     });
     // winston's types declare the transport as an interface beside the class that makes it.
     // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
-    logger.add(new winston.transports.Stream({ stream }));
+    logger.add(new winston.transports.Stream({ stream: output.stream }));
     const events = Allowance.create(maxEventsPerSecond, nowMs);
     const decisions = Allowance.create(maxDecisionsPerSecond, nowMs);
     const report = setInterval(() => {
-      const count = events.drain() + decisions.drain();
+      const count = events.drain() + decisions.drain() + output.drainDropped();
       if (count > 0) {
         logger.info('log lines left out', { count, withinMs: suppressedReportMs });
       }
