Choose each port of the soak once, and report a gateway that ends by itself

The soak didn't say that the process had ended. Ruled out: a refusal of requests (the three gateways that ran answered all of the last three seconds).

--- a/packages/soak/src/checks.test.ts
+++ b/packages/soak/src/checks.test.ts
@@ -101,6 +101,12 @@
     expect(promisesOf(ledger)).to.deep.equal(['configuration-never-reverts']);
   });
 
+  it('find a gateway that ended by itself', () => {
+    const ledger = Ledger.create();
+    ledger.ownEnds.push('g1');
+    expect(promisesOf(ledger)).to.deep.equal(['stays-up']);
+  });
+
   it('find that too little is served after the last fault', () => {
     const ledger = Ledger.create();
     ledger.quietFromMs = 0;
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -162,6 +162,12 @@
     : [];
 };
 
+const checkOwnEnds = (ledger: Ledger): readonly Violation[] =>
+  ledger.ownEnds.map((gateway) => ({
+    promise: 'stays-up',
+    detail: `${gateway} ended by itself; its log says why`,
+  }));
+
 /** All promises that the ledger breaks. */
 export const findViolations = (ledger: Ledger): readonly Violation[] => [
   ...checkRuns(ledger),
@@ -170,4 +176,5 @@
   ...checkKeys(ledger),
   ...checkNoReturn(ledger),
   ...checkRecovery(ledger),
+  ...checkOwnEnds(ledger),
 ];
--- a/packages/soak/src/gateway-process.ts
+++ b/packages/soak/src/gateway-process.ts
@@ -8,6 +8,8 @@
   readonly callerAddress: string;
   readonly start: () => void;
   readonly signal: (signal: NodeJS.Signals) => void;
+  /** How often a process ended that wasn't told to. */
+  readonly ownEnds: () => number;
   /** Resolves when the process has ended. */
   readonly ended: () => Promise<void>;
 }
@@ -28,6 +30,8 @@
     writeFileSync(options.settingsFile, options.settings);
     const output: WriteStream = createWriteStream(options.logFile);
     let child: ChildProcess | undefined;
+    let wasTold = false;
+    let ownEnds = 0;
     return {
       node: options.node,
       callerAddress: options.callerAddress,
@@ -36,12 +40,18 @@
           env: { PATH: process.env.PATH, [settingsVariable]: options.settingsFile },
           stdio: ['ignore', 'pipe', 'pipe'],
         });
+        wasTold = false;
+        child.once('exit', () => {
+          ownEnds += wasTold ? 0 : 1;
+        });
         child.stdout?.pipe(output, { end: false });
         child.stderr?.pipe(output, { end: false });
       },
       signal: (signal) => {
+        wasTold ||= signal === 'SIGKILL' || signal === 'SIGTERM';
         child?.kill(signal);
       },
+      ownEnds: () => ownEnds,
       ended: () =>
         new Promise((resolve) => {
           if (child?.exitCode !== null || child.signalCode !== null) {
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -35,6 +35,8 @@
   readonly withdrawals: Withdrawal[];
   /** When each key was taken away. */
   readonly revokedAtMs: Map<string, number>;
+  /** Gateways that ended without being told to, once for each time. */
+  readonly ownEnds: string[];
   /** From when on no fault happens any more. */
   quietFromMs: number;
 }
@@ -46,6 +48,7 @@
     disturbances: [],
     withdrawals: [],
     revokedAtMs: new Map(),
+    ownEnds: [],
     quietFromMs: Infinity,
   }),
 };
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -57,8 +57,17 @@
   version: number;
 }
 
-const freeAddress = async (): Promise<string> =>
-  `127.0.0.1:${String(await findFreePort('127.0.0.1'))}`;
+/** Seeds that run beside each other must not choose the same port before either listens. */
+const chosenPorts = new Set<number>();
+
+const freeAddress = async (): Promise<string> => {
+  let port = await findFreePort('127.0.0.1');
+  while (chosenPorts.has(port)) {
+    port = await findFreePort('127.0.0.1');
+  }
+  chosenPorts.add(port);
+  return `127.0.0.1:${String(port)}`;
+};
 
 const createStage = async (options: SoakOptions, random: Random): Promise<Stage> => {
   const ledger = Ledger.create();
@@ -271,6 +280,11 @@
     ledger.quietFromMs = performance.now();
     await sleep(quietMs);
     await traffic.stop();
+    for (const gateway of gateways) {
+      for (let end = 0; end < gateway.ownEnds(); end += 1) {
+        ledger.ownEnds.push(gateway.node);
+      }
+    }
   } finally {
     for (const gateway of gateways) {
       gateway.signal('SIGKILL');
