--- a/packages/soak/src/gateway-process.ts
+++ b/packages/soak/src/gateway-process.ts
@@ -36,6 +36,10 @@
       node: options.node,
       callerAddress: options.callerAddress,
       start: () => {
+        // Faults overlap, so that two of them may start the same gateway again.
+        if (child?.exitCode === null && child.signalCode === null) {
+          return;
+        }
         child = spawn(process.execPath, [options.program], {
           env: { PATH: process.env.PATH, [settingsVariable]: options.settingsFile },
           stdio: ['ignore', 'pipe', 'pipe'],
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -57,16 +57,23 @@
   version: number;
 }
 
-/** Seeds that run beside each other must not choose the same port before either listens. */
-const chosenPorts = new Set<number>();
+/**
+ * A loopback address for the gateways of one seed in this process. Ports of an address that others
+ * use too are taken while a gateway is down, and it can't start again.
+ */
+const hostOf = (seed: number): string =>
+  `127.${String(1 + (process.pid % 250))}.${String(seed % 250)}.1`;
 
-const freeAddress = async (): Promise<string> => {
-  let port = await findFreePort('127.0.0.1');
-  while (chosenPorts.has(port)) {
-    port = await findFreePort('127.0.0.1');
+const chosenAddresses = new Set<string>();
+
+const freeAddress = async (host: string): Promise<string> => {
+  for (;;) {
+    const address = `${host}:${String(await findFreePort(host))}`;
+    if (!chosenAddresses.has(address)) {
+      chosenAddresses.add(address);
+      return address;
+    }
   }
-  chosenPorts.add(port);
-  return `127.0.0.1:${String(port)}`;
 };
 
 const createStage = async (options: SoakOptions, random: Random): Promise<Stage> => {
@@ -79,6 +86,7 @@
     workerProxies.push(proxy);
     platform.register(standin.id, proxy.address, 'ready');
   }
+  const host = hostOf(options.seed);
   const gateways: GatewayProcess[] = [];
   const storeProxies: LoopbackProxy[] = [];
   for (let index = 0; index < gatewayCount; index += 1) {
@@ -86,10 +94,10 @@
     const proxy = await LoopbackProxy.create(platform.store.address);
     storeProxies.push(proxy);
     const addresses = {
-      caller: await freeAddress(),
-      ready: await freeAddress(),
-      directory: await freeAddress(),
-      nodes: await freeAddress(),
+      caller: await freeAddress(host),
+      ready: await freeAddress(host),
+      directory: await freeAddress(host),
+      nodes: await freeAddress(host),
     };
     gateways.push(
       GatewayProcess.create({
