--- a/packages/errors/src/error-responses.test.ts
+++ b/packages/errors/src/error-responses.test.ts
@@ -9,6 +9,7 @@
     'upstream-timeout',
     'outcome-unknown',
     'generation-lost',
+    'caller-too-slow',
     'protocol-violation',
     'internal',
   ];
--- a/packages/errors/src/error-responses.ts
+++ b/packages/errors/src/error-responses.ts
@@ -81,6 +81,8 @@
   'upstream-timeout': mayHaveRun(504, grpc.deadlineExceeded, 'The upstream did not answer in time'),
   'outcome-unknown': mayHaveRun(502, grpc.unknown, 'Whether the request ran is not known'),
   'generation-lost': mayHaveRun(502, grpc.unknown, 'The generation was lost with its engine'),
+  'caller-too-slow': mayHaveRun(502, grpc.resourceExhausted, 'The caller does not read its stream'),
+  'request-timeout': notRun(408, grpc.deadlineExceeded, true, 'The request did not arrive in time'),
   'invalid-configuration': notRun(
     400,
     grpc.invalidArgument,
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -4,6 +4,7 @@
 import type { ClientAccount, FleetMember, Route, Service, UpstreamUse } from '@zinniagrade/serving';
 import type { CallerRequest } from './caller-request.js';
 import type { Log } from './log.js';
+import type { MemoryLimits } from './memory-limits.js';
 import type { Metrics } from './metrics.js';
 import type { Rollouts } from './rollouts.js';
 import type { ServiceRecord } from './service-records.js';
@@ -20,6 +21,7 @@
   readonly metrics: Metrics;
   readonly cluster: ClusterState;
   readonly client: UpstreamClient;
+  readonly limits: MemoryLimits;
   /** Retry budget and statistics that this node keeps for a service. */
   readonly recordOf: (service: string) => ServiceRecord;
   readonly nodeCount: () => number;
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -7,8 +7,6 @@
 
 /** Used where the caller states no timeout. */
 const defaultCallerTimeoutMs = 60_000;
-/** Upper bound for buffered request bodies, as a share of the process's memory. */
-const bufferedBodyMemoryShare = 0.2;
 /** Retry delay while there is no configuration: a store outage lasts seconds. */
 const noConfigurationRetryAfterMs = 2000;
 /** Retry delay when body memory is full; some requests have ended by then and freed theirs. */
@@ -21,7 +19,6 @@
 
 export interface CallerServerOptions {
   readonly read: ReadCallerRequest;
-  readonly memoryBytes: number;
   readonly serveCall: (call: Call) => void;
   readonly serveStream: (call: Call, engine: Engine) => void;
   /** Expected time to serve a request of this route. */
@@ -54,7 +51,7 @@
 export const CallerServer = {
   create: (context: ServingContext, options: CallerServerOptions): CallerServer => {
     const { clock, log, metrics, cluster } = context;
-    const maxBufferedBytes = options.memoryBytes * bufferedBodyMemoryShare;
+    const maxBufferedBytes = context.limits.maxRequestBodyBytes;
     let bufferedBytes = 0;
     let openRequests = 0;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 import { CallerServer } from './caller-server.js';
 import { LoadPolling } from './load-polling.js';
 import type { Log } from './log.js';
+import { MemoryLimits } from './memory-limits.js';
 import type { MetadataStore } from './metadata-store.js';
 import { createMetricsServer, Metrics } from './metrics.js';
 import { NodePeers } from './node-peers.js';
@@ -177,6 +178,7 @@
       metrics,
       cluster,
       client: platform.upstreams,
+      limits: MemoryLimits.create(settings.memoryBytes),
       recordOf: serviceRecords.get,
       nodeCount: () => Math.max(1, cluster.nodes.size),
       isWithinColdLimit: isWithinColdStartLimit,
@@ -203,7 +205,6 @@
         : plainRequestDurationMs;
     const callerServer = CallerServer.create(context, {
       read: platform.readCallerRequest,
-      memoryBytes: settings.memoryBytes,
       expectedDurationMs,
       serveCall: (call) => {
         serveCall(context, call);
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -84,14 +84,18 @@
       );
     };
 
-    const forwardEvent = (from: StreamSegment, event: StreamEvent): void => {
-      if (!progress.accept(event)) {
+    const forwardEvent = (event: StreamEvent): void => {
+      if (call.isEnded() || !progress.accept(event)) {
         return;
       }
       response.write(event.bytes);
-      if (response.writableNeedDrain) {
-        from.pause();
-        response.once('drain', from.resume);
+      if (response.writableLength > context.limits.maxUnsentBytes) {
+        logStep(
+          'caller does not read',
+          segment?.member,
+          `${String(response.writableLength)} bytes`,
+        );
+        call.fail(Failure.create('caller-too-slow', 'the caller does not read its stream'));
       }
     };
 
@@ -229,7 +233,7 @@
             }
           },
           onEvent: (event) => {
-            forwardEvent(newSegment, event);
+            forwardEvent(event);
           },
           onComplete: (rest) => {
             complete(newSegment, rest);
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -7,6 +7,7 @@
   type FleetMember,
 } from '@zinniagrade/serving';
 import { forwardResponse } from './responses.js';
+import { BoundedBody } from './bounded-body.js';
 import type { Call, ServingContext } from './call.js';
 import type { ResponseHead, Exchange, ExchangeFailure } from './upstream-client.js';
 
@@ -201,13 +202,19 @@
       isBackup: false,
     });
     context.onUseChanged();
-    const chunks: Buffer[] = [];
+    const body = BoundedBody.create(context.limits.maxResponseBytes);
     let responseHead: ResponseHead | undefined;
     const release = (): void => {
       attempts.delete(attempt);
       member.ownRuns.delete(runKey);
       context.onUseChanged();
     };
+    const onExchangeFailure = (failure: ExchangeFailure): void => {
+      release();
+      if (!call.isEnded()) {
+        onFailure(member, failure);
+      }
+    };
     const exchange = context.client.send(
       {
         upstream,
@@ -221,20 +228,21 @@
           responseHead = head;
         },
         onData: (bytes) => {
-          chunks.push(bytes);
+          if (!body.add(bytes)) {
+            exchange.abort();
+            onExchangeFailure({
+              possiblySent: true,
+              reason: 'the response exceeds the size limit',
+            });
+          }
         },
         onEnd: () => {
           release();
           if (!call.isEnded() && responseHead !== undefined) {
-            onResponse(member, responseHead, Buffer.concat(chunks), clock.monotonicMs() - sentAtMs);
-          }
-        },
-        onFailure: (failure) => {
-          release();
-          if (!call.isEnded()) {
-            onFailure(member, failure);
+            onResponse(member, responseHead, body.toBuffer(), clock.monotonicMs() - sentAtMs);
           }
         },
+        onFailure: onExchangeFailure,
       },
     );
     const attempt: Attempt = { exchange, member };
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -7,6 +7,7 @@
   type OwnRun,
   type StreamEvent,
 } from '@zinniagrade/serving';
+import { BoundedBody } from './bounded-body.js';
 import type { Call, ServingContext } from './call.js';
 import type {
   ResponseHead,
@@ -48,8 +49,6 @@
   readonly isClosed: () => boolean;
   /** Closes the connection, which stops the run. No handler is called afterwards. */
   readonly close: () => void;
-  readonly pause: () => void;
-  readonly resume: () => void;
 }
 
 const isStreamResponse = (head: ResponseHead): boolean =>
@@ -70,7 +69,7 @@
     const promptTokens = continuation === undefined ? options.promptTokens : 0;
     const queuedPromptTokens = expectedUse(member, context.peerUse).promptTokens + promptTokens;
     const splitter = EventSplitter.create();
-    const otherResponseBody: Buffer[] = [];
+    const otherResponse = BoundedBody.create(context.limits.maxResponseBytes);
     let firstEventAtMs: number | undefined;
     let lastEventAtMs = 0;
     let events = 0;
@@ -111,6 +110,14 @@
       context.onUseChanged();
     };
 
+    /** Closes the connection of a response that breaks a limit. */
+    const fail = (reason: string): void => {
+      if (release()) {
+        exchange.abort();
+        handlers.onFailure({ possiblySent: true, reason });
+      }
+    };
+
     const exchange: Exchange = context.client.send(
       {
         upstream: member.upstream,
@@ -133,7 +140,9 @@
             return;
           }
           if (!isStreamResponse(head)) {
-            otherResponseBody.push(bytes);
+            if (!otherResponse.add(bytes)) {
+              fail('the response exceeds the size limit');
+            }
             return;
           }
           for (const event of splitter.push(bytes)) {
@@ -144,6 +153,9 @@
             lastEventAtMs = clock.monotonicMs();
             handlers.onEvent(event);
           }
+          if (splitter.remainder().length > context.limits.maxEventBytes) {
+            fail('an event of the stream exceeds the size limit');
+          }
         },
         onEnd: () => {
           if (!release() || head === undefined) {
@@ -152,7 +164,7 @@
           if (isStreamResponse(head)) {
             handlers.onComplete(splitter.remainder());
           } else {
-            handlers.onOtherResponse(head, Buffer.concat(otherResponseBody));
+            handlers.onOtherResponse(head, otherResponse.toBuffer());
           }
         },
         onFailure: (failure) => {
@@ -183,8 +195,6 @@
           exchange.abort();
         }
       },
-      pause: exchange.pause,
-      resume: exchange.resume,
     };
   },
 };
--- a/packages/gateway/src/upstream-client.ts
+++ b/packages/gateway/src/upstream-client.ts
@@ -60,9 +60,6 @@
 export interface Exchange {
   /** Closes the connection, which tells the upstream to stop. No callback is called afterwards. */
   readonly abort: () => void;
-  /** Pauses reading, for a caller that reads too slowly. */
-  readonly pause: () => void;
-  readonly resume: () => void;
 }
 
 /** Result of copying a run to another engine. */
--- a/packages/types/src/error-kind.ts
+++ b/packages/types/src/error-kind.ts
@@ -21,6 +21,8 @@
   | 'upstream-timeout'
   | 'outcome-unknown'
   | 'generation-lost'
+  | 'caller-too-slow'
+  | 'request-timeout'
   | 'invalid-configuration'
   | 'revision-conflict'
   | 'invalid-settings'
