Resume streams at another engine, and after the event that a caller names

A stream whose engine was lost without a copy of the run ended, though it may run again.

Now such streams are idempotent: the caller's Last-Event-Id is validated and passed on, and an interrupted stream goes on from a copy or runs again at another engine after the last whole event, within the route's attempts and the retry budget (decideRecovery). A stream that makes no progress for half of its caller's patience goes on elsewhere if it can (maxSilenceMs); a comment or a repeated event is no progress. A request that may have run is never reported as refused.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -50,6 +50,8 @@
   readonly route: Route;
   readonly service: Service;
   readonly account?: ClientAccount;
+  /** Id of the event after which the caller resumes a stream; undefined for its start. */
+  readonly resumeAfter?: string;
   /** Whether the request may be sent to an upstream of this version. */
   readonly allowsVersionOf: (member: FleetMember) => boolean;
   readonly arrivedAtMs: number;
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,6 +1,13 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Failure } from '@zinniagrade/errors';
-import type { Configuration, Engine, Route, Service, Target } from '@zinniagrade/serving';
+import {
+  isValidEventId,
+  type Configuration,
+  type Engine,
+  type Route,
+  type Service,
+  type Target,
+} from '@zinniagrade/serving';
 import { sendFailure } from './responses.js';
 import type { Call, ServingContext } from './call.js';
 import type { CallerRequest, ReadCallerRequest } from './caller-request.js';
@@ -133,6 +140,9 @@
         route,
         service,
         ...(account === undefined ? {} : { account }),
+        ...(route.resumable && request.lastEventId !== undefined
+          ? { resumeAfter: request.lastEventId }
+          : {}),
         allowsVersionOf: context.rollouts.chooseVersion(service.name),
         arrivedAtMs,
         callerDeadlineAtMs,
@@ -217,6 +227,14 @@
         );
         return;
       }
+      if (route.resumable && !isValidEventId(request.lastEventId ?? '0')) {
+        refuse(
+          response,
+          request,
+          Failure.create('invalid-request', 'the id of the last event is not a number'),
+        );
+        return;
+      }
       const target = chooseTarget(route.targets, context.random);
       const service = target === undefined ? undefined : configuration.services.get(target.service);
       if (service === undefined) {
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -1,12 +1,16 @@
 import { Failure } from '@zinniagrade/errors';
 import {
+  decideRecovery,
+  maxSilenceMs,
   recordAnswer,
   type Engine,
   type FleetMember,
   type StreamEvent,
+  type StreamRecovery,
 } from '@zinniagrade/serving';
 import { beginStreamResponse, forwardResponse } from './responses.js';
 import type { Call, ServingContext } from './call.js';
+import { watchSilence } from './silence-watch.js';
 import { StreamMigration } from './stream-migration.js';
 import { canRecover, type Standby } from './standby.js';
 import { StreamAdmission } from './stream-admission.js';
@@ -34,8 +38,6 @@
 const avoidAfterFailureMs = 500;
 const maxRefusals = 4;
 const refusalRetryAfterMs = 600;
-/** Continuations after which a stream that loses its engine is ended. */
-const maxContinuations = 8;
 /** Time after sending a run by which its prompt has certainly reached the holder of its backup. */
 const backupDelayMs = 1500;
 /** Engines with a higher memory share take no more backups: running requests need the rest. */
@@ -59,6 +61,9 @@
     let headSent = false;
     let refusals = 0;
     let continuations = 0;
+    let runs = 0;
+    /** Whether an engine may have executed the request. */
+    let mayHaveRun = false;
 
     const logStep = (outcome: string, member?: FleetMember, detail?: string): void => {
       const nowMs = clock.monotonicMs();
@@ -74,8 +79,13 @@
       });
     };
 
-    const refuse = (): void => {
-      call.fail(
+    /** Ends the call; a request that may have run is not reported as refused. */
+    const refuse = (failure: Failure): void => {
+      call.fail(mayHaveRun ? Failure.create('generation-lost', failure.detail) : failure);
+    };
+
+    const refuseUnaccepted = (): void => {
+      refuse(
         Failure.create(
           refusals > 0 ? 'upstream-refused' : 'no-upstream',
           `no engine of ${service.name} accepted the request`,
@@ -139,15 +149,34 @@
       startSegment(holder, copy);
     };
 
-    /**
-     * Continues a run from its backup after its engine was lost; without a usable one, ends the
-     * stream.
-     */
+    const usableStandby = (): Standby | undefined =>
+      standby !== undefined && canRecover(standby, context.cluster.withdrawn) ? standby : undefined;
+
+    const recovery = (): StreamRecovery =>
+      decideRecovery({
+        resumable: route.resumable,
+        hasCopy: usableStandby() !== undefined,
+        continuations,
+        runs,
+        maxRuns: route.maxAttempts,
+      });
+
+    /** Lets a stream go on after its engine was lost, or ends it. */
     const recover = (reason: string): void => {
-      const candidate = standby;
-      const isUsable = candidate !== undefined && canRecover(candidate, context.cluster.withdrawn);
-      if (isUsable && continuations < maxContinuations) {
-        continueAt(candidate.holder, candidate.copy, reason);
+      mayHaveRun = true;
+      const copy = usableStandby();
+      const decision = recovery();
+      if (decision === 'continue-from-copy' && copy !== undefined) {
+        continueAt(copy.holder, copy.copy, reason);
+        return;
+      }
+      if (
+        decision === 'run-again' &&
+        budget.tryTakeRetry(clock.monotonicMs(), context.nodeCount())
+      ) {
+        logStep('run again', segment?.member, reason);
+        progress.recordMove();
+        admit();
         return;
       }
       logStep('lost', segment?.member, reason);
@@ -162,7 +191,7 @@
         refusals > maxRefusals ||
         !budget.tryTakeRetry(clock.monotonicMs(), context.nodeCount())
       ) {
-        refuse();
+        refuseUnaccepted();
       } else {
         admit();
       }
@@ -179,11 +208,17 @@
         String(head.status),
       );
       if (head.notExecuted && !endedSegment.isContinuation) {
+        runs -= 1;
         tryAnotherEngine();
         return;
       }
       recordOutcome(endedSegment, 0, true);
-      if (head.notExecuted || headSent || !head.matchesRequest) {
+      if (head.notExecuted) {
+        // The engine has no copy of the run, or freed it.
+        standby = undefined;
+      }
+      const canForward = !head.notExecuted && !headSent && head.matchesRequest;
+      if (!canForward || recovery() === 'run-again') {
         recover(`engine responded with status ${String(head.status)}`);
         return;
       }
@@ -203,6 +238,7 @@
         return;
       }
       endedSegment.member.avoidUntilMs = clock.monotonicMs() + avoidAfterFailureMs;
+      runs -= 1;
       tryAnotherEngine();
     };
 
@@ -220,8 +256,8 @@
         {
           member,
           backup,
-          continuation:
-            copy === undefined ? undefined : { copy, afterEvent: progress.lastEventId() },
+          copy,
+          afterEvent: progress.lastEventId(),
           promptTokens: placement.promptTokens,
           expectedTokens: placement.expectedTokens(progress.events()),
         },
@@ -262,12 +298,13 @@
         triedEngines,
         (member) => {
           triedEngines.add(member.upstream.id);
+          runs += 1;
           logStep('sent', member);
           startSegment(member);
         },
         (failure, reason) => {
           logStep(reason);
-          call.fail(failure);
+          refuse(failure);
         },
       );
     };
@@ -284,7 +321,7 @@
     });
     const cancelTimeout = clock.after(call.deadlineAtMs - clock.monotonicMs(), () => {
       if (segment === undefined) {
-        refuse();
+        refuseUnaccepted();
       } else {
         call.fail(
           Failure.create('upstream-timeout', 'the stream did not complete before its deadline'),
@@ -292,6 +329,22 @@
       }
     });
     call.onEnded(cancelTimeout);
+    const stopWatch = watchSilence(clock, {
+      lastProgressAtMs: () => Math.max(progress.lastEventAtMs(), segment?.sentAtMs ?? 0),
+      maxSilenceMs: () =>
+        segment === undefined || segment.isClosed()
+          ? Infinity
+          : maxSilenceMs({
+              goalMs: route.goalMs,
+              gapGoalMs: route.gapGoalMs,
+              recovery: recovery(),
+            }),
+      onSilent: () => {
+        segment?.close();
+        recover('the engine sent no event for too long');
+      },
+    });
+    call.onEnded(stopWatch);
     budget.recordFirstSend(clock.monotonicMs());
     admit();
 
--- a/packages/gateway/src/stream-progress.ts
+++ b/packages/gateway/src/stream-progress.ts
@@ -3,11 +3,14 @@
 
 /** Tracks which events were sent to the caller of a stream, and when. */
 export interface StreamProgress {
-  /** Records an event; false if it was sent to the caller before. */
+  /** Records an event; false if the caller has it already. */
   readonly accept: (event: StreamEvent) => boolean;
+  /** Events that the caller has, including those from before it resumed the stream. */
   readonly events: () => number;
-  /** Id of the last event sent to the caller. */
+  /** Id of the last event that the caller has. */
   readonly lastEventId: () => string | undefined;
+  /** When the caller got its last event, or sent the request. */
+  readonly lastEventAtMs: () => number;
   /** Records that the stream continues at another engine, to measure the pause. */
   readonly recordMove: () => void;
   /** Time to the first event and longest gap between events, in whole milliseconds. */
@@ -17,8 +20,8 @@
 export const StreamProgress = {
   create: (context: ServingContext, call: Call): StreamProgress => {
     const { clock, metrics } = context;
-    let lastEventId: string | undefined;
-    let events = 0;
+    let lastEventId = call.resumeAfter;
+    let events = lastEventId === undefined ? 0 : Number(lastEventId);
     let firstEventMs: number | undefined;
     let lastEventAtMs = call.arrivedAtMs;
     let longestGapMs = 0;
@@ -41,6 +44,10 @@
 
     return {
       accept: ({ id }) => {
+        if (id === undefined && lastEventId !== undefined) {
+          // A comment between events; it is forwarded, but it is no progress.
+          return true;
+        }
         if (id !== undefined) {
           if (lastEventId !== undefined && Number(id) <= Number(lastEventId)) {
             return false;
@@ -53,6 +60,7 @@
       },
       events: () => events,
       lastEventId: () => lastEventId,
+      lastEventAtMs: () => lastEventAtMs,
       recordMove: () => {
         movedAtMs ??= lastEventAtMs;
       },
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -9,18 +9,16 @@
 } from '@zinniagrade/serving';
 import { BoundedBody } from './bounded-body.js';
 import type { Call, ServingContext } from './call.js';
-import type {
-  ResponseHead,
-  Exchange,
-  ExchangeFailure,
-  UpstreamRequest,
-} from './upstream-client.js';
+import type { ResponseHead, Exchange, ExchangeFailure, RunCopy } from './upstream-client.js';
 
 export interface StreamSegmentOptions {
   readonly member: FleetMember;
   /** Engine that keeps a growing copy of the run. */
   readonly backup: FleetMember | undefined;
-  readonly continuation: UpstreamRequest['continuation'] | undefined;
+  /** Copy from which the run continues; undefined for a new run. */
+  readonly copy: RunCopy | undefined;
+  /** Id of the last event that the caller has; undefined for the start of the stream. */
+  readonly afterEvent: string | undefined;
   readonly promptTokens: number;
   /** Expected memory at the end of the stream, in tokens. */
   readonly expectedTokens: number;
@@ -42,6 +40,7 @@
   readonly member: FleetMember;
   readonly backup: FleetMember | undefined;
   readonly sentAtMs: number;
+  /** Whether this continues a run from a copy of its memory. */
   readonly isContinuation: boolean;
   readonly firstEventAtMs: () => number | undefined;
   /** Mean time between events and, unless this is a continuation, time to the first event. */
@@ -62,11 +61,11 @@
     handlers: StreamSegmentHandlers,
   ): StreamSegment => {
     const { clock } = context;
-    const { member, backup, continuation } = options;
+    const { member, backup, copy, afterEvent } = options;
     const runKey = call.request.id;
     const backupKey = `${runKey}#backup`;
     const sentAtMs = clock.monotonicMs();
-    const promptTokens = continuation === undefined ? options.promptTokens : 0;
+    const promptTokens = copy === undefined ? options.promptTokens : 0;
     const queuedPromptTokens = expectedUse(member, context.peerUse).promptTokens + promptTokens;
     const splitter = EventSplitter.create();
     const otherResponse = BoundedBody.create(context.limits.maxResponseBytes);
@@ -104,7 +103,7 @@
     const onFirstEvent = (): void => {
       firstEventAtMs = clock.monotonicMs();
       run.hasBegun = true;
-      if (continuation === undefined) {
+      if (copy === undefined) {
         recordFirstEvent(member, firstEventAtMs - sentAtMs, queuedPromptTokens);
       }
       context.onUseChanged();
@@ -125,7 +124,8 @@
         body: call.body,
         remainingMs: call.deadlineAtMs - sentAtMs,
         ...(call.account === undefined ? {} : { account: call.account.name }),
-        ...(continuation === undefined ? {} : { continuation }),
+        ...(copy === undefined ? {} : { copy }),
+        ...(afterEvent === undefined ? {} : { afterEvent }),
         ...(backup === undefined ? {} : { backup: backup.upstream }),
       },
       {
@@ -179,10 +179,10 @@
       member,
       backup,
       sentAtMs,
-      isContinuation: continuation !== undefined,
+      isContinuation: copy !== undefined,
       firstEventAtMs: () => firstEventAtMs,
       timing: () => ({
-        ...(firstEventAtMs === undefined || continuation !== undefined
+        ...(firstEventAtMs === undefined || copy !== undefined
           ? {}
           : { firstEventMs: firstEventAtMs - sentAtMs }),
         ...(firstEventAtMs === undefined || events < 2
--- a/packages/gateway/src/upstream-client.ts
+++ b/packages/gateway/src/upstream-client.ts
@@ -19,8 +19,10 @@
   readonly account?: string;
   /** Priority at an engine, 0 (highest) to 9. */
   readonly priority?: number;
-  /** Continues from a copy, after this event, instead of starting a new run. */
-  readonly continuation?: { readonly copy: RunCopy; readonly afterEvent: string | undefined };
+  /** Continues the run from this copy instead of starting a new one. */
+  readonly copy?: RunCopy;
+  /** Id of the event after which a stream begins; undefined for its start. */
+  readonly afterEvent?: string;
   /** Engine that keeps a growing copy of the run. */
   readonly backup?: Upstream;
 }
--- a/packages/serving/src/configuration.ts
+++ b/packages/serving/src/configuration.ts
@@ -28,6 +28,11 @@
   readonly maxAttempts: number;
   /** Whether requests are accepted without an API key. */
   readonly anonymous: boolean;
+  /**
+   * Whether a stream may run again after its last event that the caller has, at any upstream. Such
+   * a stream is idempotent.
+   */
+  readonly resumable: boolean;
 }
 
 /** Properties of the model engines of a service. */
--- a/packages/serving/src/event-splitter.ts
+++ b/packages/serving/src/event-splitter.ts
@@ -4,6 +4,11 @@
   readonly id?: string;
 }
 
+const eventIdPattern = /^\d{1,15}$/;
+
+/** Whether the text can be the id of an event: ids of a stream are increasing whole numbers. */
+export const isValidEventId = (text: string): boolean => eventIdPattern.test(text);
+
 /**
  * Splits a byte stream into complete events, so that a broken stream never ends within an event.
  */
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -12,4 +12,5 @@
 export * from './route-table.js';
 export * from './stated-timeouts.js';
 export * from './topology.js';
+export * from './stream-recovery.js';
 export type * from './upstream.js';
--- a/packages/serving/src/route-table.test.ts
+++ b/packages/serving/src/route-table.test.ts
@@ -14,6 +14,7 @@
   targets: [{ service: 'app', weight: 1 }],
   maxAttempts: 1,
   anonymous: false,
+  resumable: false,
 });
 
 const createConfiguration = (routes: readonly Route[]): Configuration => ({
--- /dev/null
+++ b/packages/serving/src/stream-recovery.test.ts
@@ -0,0 +1,30 @@
+import { expect } from 'chai';
+import { callerPatienceMs, decideRecovery, maxSilenceMs } from './stream-recovery.js';
+
+const interrupted = { resumable: true, hasCopy: true, continuations: 0, runs: 1, maxRuns: 2 };
+
+describe('stream recovery', () => {
+  it('prefers a copy, as another run has to read the prompt again', () => {
+    expect(decideRecovery(interrupted)).to.equal('continue-from-copy');
+    expect(decideRecovery({ ...interrupted, hasCopy: false })).to.equal('run-again');
+  });
+
+  it('never runs a stream again that can not be resumed', () => {
+    // Guards against a second run of a request that may run only once.
+    expect(decideRecovery({ ...interrupted, resumable: false, hasCopy: false })).to.equal('end');
+  });
+
+  it('runs a stream as often as its route allows', () => {
+    // Guards against engines that fail all requests and are sent the same one again and again.
+    expect(decideRecovery({ ...interrupted, hasCopy: false, runs: 2 })).to.equal('end');
+    expect(decideRecovery({ ...interrupted, continuations: 8 })).to.equal('run-again');
+  });
+
+  it('takes a silent stream away only if it can go on elsewhere, before its caller leaves', () => {
+    const patienceMs = callerPatienceMs(1800, 180);
+    expect(patienceMs).to.equal(7200);
+    const silent = { goalMs: 1800, gapGoalMs: 180 };
+    expect(maxSilenceMs({ ...silent, recovery: 'end' })).to.equal(Infinity);
+    expect(maxSilenceMs({ ...silent, recovery: 'run-again' })).to.be.lessThan(patienceMs);
+  });
+});
