Announce only what changes, and let three relays watch the store for all

Now a node that is sent to for the first time gets the complete state, and from then on changes only (a refresh each 5 s heals what is lost while relays take over from each other); alive lists are sent when they change; loads of engines when they change; relays batch in proportion to the number of nodes (20 to 100 ms); states are checked by hand (fuzzed). Three relays of different data centres watch the store, the next ones replace those that are gone or have lost it. In a full mesh all nodes watch, as before.

--- a/packages/gateway/src/load-polling.ts
+++ b/packages/gateway/src/load-polling.ts
@@ -21,11 +21,27 @@
 
 /** Engines' reports lag by about this time, so polling more often would yield little. */
 const pollIntervalMs = 400;
+/** A load that stays the same is sent to the other nodes again after this time. */
+const unchangedShareIntervalMs = 5000;
+
+/** A load that was sent to the other nodes. */
+interface SentLoad {
+  readonly load: EngineLoad;
+  readonly atMs: number;
+}
+
+const isSameLoad = (a: EngineLoad, b: EngineLoad): boolean =>
+  a.running === b.running &&
+  a.waiting === b.waiting &&
+  a.usedTokens === b.usedTokens &&
+  a.totalTokens === b.totalTokens &&
+  a.leaving === b.leaving;
 
 export const LoadPolling = {
   create: (context: ServingContext, options: LoadPollingOptions): LoadPolling => {
     const { clock, log, cluster } = context;
     const pendingReads = new Set<string>();
+    const sentLoads = new Map<string, SentLoad>();
 
     const apply = (member: FleetMember, load: EngineLoad, readAtMs: number): void => {
       if (readAtMs < member.engineLoadAtMs) {
@@ -43,6 +59,15 @@
       options.onLoad(member);
     };
 
+    const mustShare = (id: string, load: EngineLoad, nowMs: number): boolean => {
+      const sent = sentLoads.get(id);
+      return (
+        sent === undefined ||
+        nowMs - sent.atMs >= unchangedShareIntervalMs ||
+        !isSameLoad(sent.load, load)
+      );
+    };
+
     const readLoad = async (member: FleetMember): Promise<void> => {
       const { id } = member.upstream;
       pendingReads.add(id);
@@ -55,6 +80,10 @@
         },
         Right: (report) => {
           apply(member, report, requestedAtMs);
+          if (!mustShare(id, report, requestedAtMs)) {
+            return;
+          }
+          sentLoads.set(id, { load: report, atMs: requestedAtMs });
           log.decision('engine load', {
             upstream: id,
             running: report.running,
@@ -69,7 +98,16 @@
       });
     };
 
+    const forgetRemoved = (): void => {
+      for (const id of sentLoads.keys()) {
+        if (!cluster.fleet.members.has(id)) {
+          sentLoads.delete(id);
+        }
+      }
+    };
+
     const pollAll = (): void => {
+      forgetRemoved();
       const configuration = cluster.configuration();
       for (const member of cluster.fleet.members.values()) {
         const { id, service, dataCentre } = member.upstream;
--- /dev/null
+++ b/packages/gateway/src/node-message.test.ts
@@ -0,0 +1,54 @@
+import { Decoder, Encoder } from 'cbor-x';
+import { expect } from 'chai';
+import { anything, assert, constantFrom, property } from 'fast-check';
+import { decodeNodeMessage, encodeNodeMessage, type NodeMessage } from './node-message.js';
+
+const state: NodeMessage = {
+  kind: 'state',
+  nodes: [
+    {
+      node: 'n1',
+      incarnation: 5,
+      sequence: 7,
+      store: 'fed',
+      uses: [{ upstream: 'e', requests: 1, promptTokens: 2, memoryTokens: 3.5, copyTokens: 0 }],
+    },
+  ],
+  loads: [
+    {
+      node: 'n1',
+      upstream: 'e',
+      ageMs: 0,
+      load: { running: 1, waiting: 2, usedTokens: 3, totalTokens: 4, leaving: true, leavesInMs: 5 },
+    },
+  ],
+  reports: [],
+  alive: ['n1', 'n2'],
+  revision: 9,
+};
+
+const overWire = (message: unknown): unknown => new Decoder().decode(new Encoder().encode(message));
+
+describe('node message', () => {
+  it('is read as it was written', () => {
+    expect(decodeNodeMessage(overWire(encodeNodeMessage(state)))).to.deep.equal(state);
+  });
+
+  it('is ignored if any part of it is malformed', () => {
+    // Guards against a message that ends the process of the node that reads it.
+    const wire = encodeNodeMessage(state) as Record<string, unknown>;
+    const field = constantFrom('nodes', 'loads', 'reports', 'alive', 'revision');
+    assert(
+      property(field, anything(), (name, value) => {
+        decodeNodeMessage({ ...wire, [name]: value });
+        decodeNodeMessage({ ...wire, [name]: [value] });
+        decodeNodeMessage({ ...wire, [name]: [[value, value, value, value, [[value]]]] });
+      }),
+      { seed: 19, numRuns: 500 },
+    );
+    expect(decodeNodeMessage({ ...wire, nodes: [['n1', 1, 1, 9, []]] })).to.equal(undefined);
+    expect(decodeNodeMessage({ ...wire, revision: '1' })).to.equal(undefined);
+    expect(decodeNodeMessage(null)).to.equal(undefined);
+    expect(decodeNodeMessage({ kind: 'other' })).to.equal(undefined);
+  });
+});
--- a/packages/gateway/src/node-message.ts
+++ b/packages/gateway/src/node-message.ts
@@ -63,26 +63,6 @@
       readonly revision: number;
     };
 
-/** Upstream, requests, prompt tokens, memory tokens, and the memory tokens of copies among them. */
-const useRowSchema = z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()]);
-
-const stateSchema = z.object({
-  node: z.string(),
-  incarnation: z.number(),
-  sequence: z.number(),
-  store: z.enum(['watching', 'fed', 'lost']),
-  uses: z.array(useRowSchema),
-});
-
-const loadSchema = z.object({
-  running: z.number(),
-  waiting: z.number(),
-  usedTokens: z.number(),
-  totalTokens: z.number(),
-  leaving: z.boolean(),
-  leavesInMs: z.number().optional(),
-});
-
 const reportSchema = z.object({
   target: z.string(),
   elapsedMs: z.number(),
@@ -100,17 +80,8 @@
   ),
 });
 
-const messageSchema = z.discriminatedUnion('kind', [
-  z.object({
-    kind: z.literal('state'),
-    nodes: z.array(stateSchema),
-    loads: z.array(
-      z.object({ node: z.string(), upstream: z.string(), ageMs: z.number(), load: loadSchema }),
-    ),
-    reports: z.array(z.object({ node: z.string(), service: z.string(), report: reportSchema })),
-    alive: z.array(z.string()).optional(),
-    revision: z.number(),
-  }),
+/** Messages that are rare; states are checked by hand, as each node reads many of them a second. */
+const rareMessageSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('pull'), after: z.number() }),
   z.object({
     kind: z.literal('changes'),
@@ -125,68 +96,166 @@
   }),
 ]);
 
-const toLoad = (load: z.infer<typeof loadSchema>): EngineLoad => {
-  const { leavesInMs, ...rest } = load;
-  return leavesInMs === undefined ? rest : { ...rest, leavesInMs };
+const sharedReportSchema = z.object({
+  node: z.string(),
+  service: z.string(),
+  report: reportSchema,
+});
+
+/** Thrown within this module only: the message does not have the expected form. */
+class MalformedMessage extends Error {}
+
+const toText = (value: unknown): string => {
+  if (typeof value !== 'string') {
+    throw new MalformedMessage('expected a string');
+  }
+  return value;
+};
+
+const toNumber = (value: unknown): number => {
+  if (typeof value !== 'number' || Number.isNaN(value)) {
+    throw new MalformedMessage('expected a number');
+  }
+  return value;
+};
+
+const toRow = (value: unknown): readonly unknown[] => {
+  if (!Array.isArray(value)) {
+    throw new MalformedMessage('expected an array');
+  }
+  return value;
 };
 
-const toState = (state: z.infer<typeof stateSchema>): NodeState => ({
-  ...state,
-  uses: state.uses.map(([upstream, requests, promptTokens, memoryTokens, copyTokens]) => ({
-    upstream,
-    requests,
-    promptTokens,
-    memoryTokens,
-    copyTokens,
-  })),
+const isFields = (value: unknown): value is Readonly<Record<string, unknown>> =>
+  typeof value === 'object' && value !== null;
+
+const storeAccesses: readonly StoreAccess[] = ['watching', 'fed', 'lost'];
+
+const toUse = (value: unknown): UpstreamUse => {
+  const [upstream, requests, promptTokens, memoryTokens, copyTokens] = toRow(value);
+  return {
+    upstream: toText(upstream),
+    requests: toNumber(requests),
+    promptTokens: toNumber(promptTokens),
+    memoryTokens: toNumber(memoryTokens),
+    copyTokens: toNumber(copyTokens),
+  };
+};
+
+const toState = (value: unknown): NodeState => {
+  const [node, incarnation, sequence, access, uses] = toRow(value);
+  const store = storeAccesses[toNumber(access)];
+  if (store === undefined) {
+    throw new MalformedMessage('unknown store access');
+  }
+  return {
+    node: toText(node),
+    incarnation: toNumber(incarnation),
+    sequence: toNumber(sequence),
+    store,
+    uses: toRow(uses).map(toUse),
+  };
+};
+
+const toSharedLoad = (value: unknown): SharedLoad => {
+  const [node, upstream, ageMs, running, waiting, usedTokens, totalTokens, leaving, leavesInMs] =
+    toRow(value);
+  return {
+    node: toText(node),
+    upstream: toText(upstream),
+    ageMs: toNumber(ageMs),
+    load: {
+      running: toNumber(running),
+      waiting: toNumber(waiting),
+      usedTokens: toNumber(usedTokens),
+      totalTokens: toNumber(totalTokens),
+      leaving: leaving === true,
+      ...(leavesInMs === null || leavesInMs === undefined
+        ? {}
+        : { leavesInMs: toNumber(leavesInMs) }),
+    },
+  };
+};
+
+const toReport = (value: unknown): SharedReport => {
+  const report = sharedReportSchema.safeParse(value);
+  if (!report.success) {
+    throw new MalformedMessage(report.error.message);
+  }
+  return report.data;
+};
+
+const toStateMessage = (fields: Readonly<Record<string, unknown>>): NodeMessage => ({
+  kind: 'state',
+  nodes: toRow(fields.nodes).map(toState),
+  loads: toRow(fields.loads).map(toSharedLoad),
+  reports: toRow(fields.reports).map(toReport),
+  ...(fields.alive === undefined ? {} : { alive: toRow(fields.alive).map(toText) }),
+  revision: toNumber(fields.revision),
 });
 
+const toRareMessage = (document: unknown): NodeMessage | undefined => {
+  const result = rareMessageSchema.safeParse(document);
+  if (!result.success) {
+    return undefined;
+  }
+  const message = result.data;
+  return message.kind === 'pull'
+    ? message
+    : {
+        ...message,
+        items: message.items.map(({ value, ...item }) =>
+          value === undefined ? item : { ...item, value: Buffer.from(value) },
+        ),
+      };
+};
+
 /**
- * Converts a message to its wire form; uses are rows without field names, as they are most of the
- * data.
+ * Converts a message to its wire form. States, uses and loads are rows without field names, as they
+ * are most of the data.
  */
 export const encodeNodeMessage = (message: NodeMessage): unknown =>
   message.kind === 'state'
     ? {
         ...message,
-        nodes: message.nodes.map((state) => ({
-          ...state,
-          uses: state.uses.map((use) => [
+        nodes: message.nodes.map(({ node, incarnation, sequence, store, uses }) => [
+          node,
+          incarnation,
+          sequence,
+          storeAccesses.indexOf(store),
+          uses.map((use) => [
             use.upstream,
             use.requests,
             use.promptTokens,
             use.memoryTokens,
             use.copyTokens,
           ]),
-        })),
+        ]),
+        loads: message.loads.map(({ node, upstream, ageMs, load }) => [
+          node,
+          upstream,
+          ageMs,
+          load.running,
+          load.waiting,
+          load.usedTokens,
+          load.totalTokens,
+          load.leaving,
+          load.leavesInMs ?? null,
+        ]),
       }
     : message;
 
 /** Validates a received message; undefined if it is malformed. */
 export const decodeNodeMessage = (document: unknown): NodeMessage | undefined => {
-  const result = messageSchema.safeParse(document);
-  if (!result.success) {
-    return undefined;
+  if (!isFields(document) || document.kind !== 'state') {
+    return toRareMessage(document);
   }
-  const message = result.data;
-  switch (message.kind) {
-    case 'state': {
-      const { alive, ...rest } = message;
-      return {
-        ...rest,
-        ...(alive === undefined ? {} : { alive }),
-        nodes: message.nodes.map(toState),
-        loads: message.loads.map((shared) => ({ ...shared, load: toLoad(shared.load) })),
-      };
+  try {
+    return toStateMessage(document);
+  } catch (error) {
+    if (error instanceof MalformedMessage) {
+      return undefined;
     }
-    case 'changes':
-      return {
-        ...message,
-        items: message.items.map(({ value, ...item }) =>
-          value === undefined ? item : { ...item, value: Buffer.from(value) },
-        ),
-      };
-    default:
-      return message;
+    throw error;
   }
 };
--- a/packages/gateway/src/node-peers.ts
+++ b/packages/gateway/src/node-peers.ts
@@ -70,9 +70,15 @@
 const turnLengthMs = 9;
 /** Frames have a maximum size, so changes are sent in parts of about this size. */
 const maxPartBytes = 128 * 1024;
-/** Changes within this time are sent together; relays wait longer, as they send more. */
+/** Changes within this time are sent together. */
 const batchDelayMs = 4;
-const relayBatchDelayMs = 20;
+/**
+ * Relays wait longer, in proportion to the nodes whose changes they forward: otherwise the messages
+ * that each node has to read would grow with the number of nodes.
+ */
+const relayBatchDelayMsPerNode = 0.5;
+const minRelayBatchDelayMs = 20;
+const maxRelayBatchDelayMs = 100;
 /** Heartbeats also show the other nodes that this one is alive. */
 const heartbeatIntervalMs = 500;
 
@@ -104,7 +110,7 @@
   create: (clock: Clock, log: Log, cluster: ClusterState, options: NodePeersOptions): NodePeers => {
     const { self } = options;
     const peerUse = PeerUse.create();
-    let topology = Topology.create(self, []);
+    let knownTopology: Topology | undefined = Topology.create(self, []);
     let links: NodeLinks | undefined;
     let opening = false;
     let closed = false;
@@ -120,11 +126,17 @@
 
     cluster.onChange((change) => {
       if (change.kind === 'node') {
-        const staying = [...otherEntries()].filter(({ leaving }) => !leaving);
-        topology = Topology.create(self, staying.map(toPlace));
+        knownTopology = undefined;
       }
     });
 
+    const createTopology = (): Topology => {
+      const staying = [...otherEntries()].filter(({ leaving }) => !leaving);
+      return Topology.create(self, staying.map(toPlace));
+    };
+    /** The topology of the registered nodes; computed only after these have changed. */
+    const topology = (): Topology => (knownTopology ??= createTopology());
+
     const ownUses = (): readonly UpstreamUse[] => {
       const uses: UpstreamUse[] = [];
       for (const member of cluster.fleet.members.values()) {
@@ -142,7 +154,7 @@
       dataCentre: self.dataCentre,
       incarnation: Date.now(),
       nowMs: clock.monotonicMs,
-      topology: () => topology,
+      topology,
       linkedNodes,
       send: (nodes, message) => links?.send(nodes, message),
       ownUses,
@@ -156,14 +168,20 @@
       onNodeLost: peerUse.forget,
     });
 
-    const isRelay = (): boolean => !topology.isMesh && topology.relays.includes(self.node);
+    const isRelay = (): boolean => !topology().isMesh && topology().relays.includes(self.node);
+
+    const relayBatchDelayMs = (): number =>
+      Math.min(
+        maxRelayBatchDelayMs,
+        Math.max(minRelayBatchDelayMs, relayBatchDelayMsPerNode * cluster.nodes.size),
+      );
 
     const scheduleFlush = (): void => {
       if (flushScheduled || !broadcast.hasPending()) {
         return;
       }
       flushScheduled = true;
-      clock.after(isRelay() ? relayBatchDelayMs : batchDelayMs, () => {
+      clock.after(isRelay() ? relayBatchDelayMs() : batchDelayMs, () => {
         flushScheduled = false;
         broadcast.flush();
       });
@@ -240,17 +258,20 @@
         secret,
         peers: function* () {
           for (const entry of otherEntries()) {
-            if (topology.neighbours.has(entry.node)) {
+            if (topology().neighbours.has(entry.node)) {
               yield entry;
             }
           }
         },
         onMessage,
-        onOpen: () => {
-          broadcast.onLinkOpen();
+        onOpen: (node) => {
+          broadcast.onLinkOpen(node);
+          scheduleFlush();
+        },
+        onLost: (node) => {
+          broadcast.onLinkLost(node);
           scheduleFlush();
         },
-        onLost: broadcast.onLinkLost,
       });
       if (closed) {
         created.close();
@@ -260,12 +281,16 @@
     };
 
     const shouldWatchStore = (): boolean => {
+      const aliveNow = broadcast.aliveNodes();
       const states = broadcast.states();
-      let otherWatchers = 0;
-      for (const node of broadcast.aliveNodes()) {
-        otherWatchers += states.get(node)?.store === 'watching' ? 1 : 0;
+      let watching = 0;
+      for (const { node, store } of states.values()) {
+        watching += store === 'watching' && aliveNow.has(node) ? 1 : 0;
       }
-      return followsStore(topology, self.node, otherWatchers);
+      return followsStore(topology(), self.node, {
+        watching,
+        canFollow: (node) => aliveNow.has(node) && states.get(node)?.store !== 'lost',
+      });
     };
 
     return {
@@ -302,9 +327,12 @@
       readsLoadOf: (upstream, dataCentre) => {
         const aliveNow = broadcast.aliveNodes();
         const isAlive = (node: string): boolean => node === self.node || aliveNow.has(node);
-        const localRelays = topology.relaysOf(dataCentre).filter(isAlive);
-        const readers = localRelays.length > 0 ? localRelays : topology.relays.filter(isAlive);
-        return chooseByRendezvous(upstream, readers)[0] === self.node;
+        const { relays, relaysOf } = topology();
+        const localRelays = relaysOf(dataCentre).filter(isAlive);
+        const readers = localRelays.length > 0 ? localRelays : relays.filter(isAlive);
+        return (
+          readers.includes(self.node) && chooseByRendezvous(upstream, readers)[0] === self.node
+        );
       },
       watchesStore: shouldWatchStore,
       requestChanges: () => {
--- a/packages/gateway/src/peer-broadcast.test.ts
+++ b/packages/gateway/src/peer-broadcast.test.ts
@@ -121,7 +121,6 @@
       for (const other of aliveNodes()) {
         if (topologies.get(other)?.neighbours.has(node) === true) {
           exchangeOf(other).onLinkLost(node);
-          exchangeOf(other).onLinkOpen();
         }
       }
     },
--- a/packages/gateway/src/peer-broadcast.ts
+++ b/packages/gateway/src/peer-broadcast.ts
@@ -4,6 +4,7 @@
   type Topology,
   type UpstreamUse,
 } from '@zinniagrade/serving';
+import { AliveNodes } from './alive-nodes.js';
 import type {
   NodeMessage,
   NodeState,
@@ -38,20 +39,21 @@
 
 /**
  * Distributes node states, engine loads and rollout reports, directly or via relays (see
- * `Topology`).
+ * `Topology`). A node that is sent to for the first time gets the complete state, and from then on
+ * only what changes, so that a node at rest costs nothing but its heartbeats.
  */
 export interface PeerBroadcast {
   readonly markUsesChanged: () => void;
   readonly shareLoad: (upstream: string, load: EngineLoad) => void;
   readonly shareReport: (service: string, report: RolloutReport) => void;
   readonly receive: (from: string, message: Extract<NodeMessage, { kind: 'state' }>) => void;
-  readonly onLinkOpen: () => void;
+  readonly onLinkOpen: (node: string) => void;
   readonly onLinkLost: (node: string) => void;
   /** Sends all changes since the last flush. */
   readonly flush: () => void;
   /**
    * Shows all neighbours that this node is alive; relays also send the list of nodes that they
-   * receive messages from.
+   * receive messages from, if it has changed.
    */
   readonly heartbeat: () => void;
   readonly hasPending: () => boolean;
@@ -60,13 +62,11 @@
   readonly states: () => ReadonlyMap<string, NodeState>;
 }
 
-/** Time for which a relay's list of alive nodes is valid. */
-const aliveListTtlMs = 1500;
-
-interface AliveList {
-  readonly nodes: readonly string[];
-  readonly atMs: number;
-}
+/**
+ * A state is announced again after this time, in case one got lost between two relays that took over
+ * from each other.
+ */
+const refreshIntervalMs = 5000;
 
 /** Updates that are forwarded once, each with the node that it comes from. */
 interface SharedUpdates {
@@ -74,15 +74,35 @@
   readonly reports: readonly SharedReport[];
 }
 
+/** Nodes that get the same message. */
+interface Audience {
+  readonly nodes: readonly string[];
+  /** Whether the state of a node is forwarded to them. */
+  readonly wants: (node: string) => boolean;
+  /** Nodes that the sender vouches for; undefined if it is not a relay. */
+  readonly aliveList: () => readonly string[] | undefined;
+}
+
+const noUpdates: SharedUpdates = { loads: [], reports: [] };
+
 export const PeerBroadcast = {
   create: (options: PeerBroadcastOptions): PeerBroadcast => {
     const states = new Map<string, NodeState>();
-    const aliveLists = new Map<string, AliveList>();
+    const alive = AliveNodes.create(options.node, options.linkedNodes);
     const changedNodes = new Set<string>();
+    /** Nodes that have been sent the complete state. */
+    const synchronized = new Set<string>();
+    /** Nodes that got a message since the last heartbeat. */
+    const contacted = new Set<string>();
+    /** The alive list that was last sent, by node. */
+    const sentAliveLists = new Map<string, string>();
     let loads: SharedLoad[] = [];
     let reports: SharedReport[] = [];
     let sequence = 0;
     let ownStateChanged = true;
+    let linksChanged = true;
+    let announcedAtMs = -Infinity;
+    let announcedAccess: StoreAccess | undefined;
 
     const isLinked = (node: string): boolean => options.linkedNodes().includes(node);
 
@@ -93,143 +113,163 @@
         .relaysOf(dataCentre)
         .find((relay) => relay === options.node || isLinked(relay));
 
-    const aliveNodes = (): ReadonlySet<string> => {
-      const nodes = new Set(options.linkedNodes());
-      const oldestMs = options.nowMs() - aliveListTtlMs;
-      for (const { nodes: others, atMs } of aliveLists.values()) {
-        if (atMs >= oldestMs) {
-          for (const node of others) {
-            nodes.add(node);
-          }
-        }
-      }
-      nodes.delete(options.node);
-      return nodes;
-    };
-
-    const ownState = (): NodeState => {
+    const createOwnState = (): NodeState => {
       sequence += 1;
+      announcedAtMs = options.nowMs();
+      announcedAccess = options.storeAccess();
       return {
         node: options.node,
         incarnation: options.incarnation,
         sequence,
-        store: options.storeAccess(),
+        store: announcedAccess,
         uses: options.ownUses(),
       };
     };
 
-    const isInOwnDataCentre = (node: string): boolean =>
-      node === options.node || options.topology().dataCentreOf(node) === options.dataCentre;
+    const isOwn = (node: string): boolean => node === options.node;
 
-    const createStateMessage = (
-      nodes: readonly NodeState[],
-      updates: SharedUpdates,
-      aliveList?: readonly string[],
-    ): NodeMessage => ({
-      kind: 'state',
-      nodes,
-      ...updates,
-      ...(aliveList === undefined ? {} : { alive: aliveList }),
-      revision: options.revision(),
-    });
+    const isInOwnDataCentre = (node: string): boolean =>
+      isOwn(node) || options.topology().dataCentreOf(node) === options.dataCentre;
 
-    const sendUnlessEmpty = (
-      to: readonly string[],
-      nodes: readonly NodeState[],
-      updates: SharedUpdates,
-      aliveList?: readonly string[],
-    ): void => {
-      const size = nodes.length + updates.loads.length + updates.reports.length;
-      if (to.length > 0 && (size > 0 || aliveList !== undefined)) {
-        options.send(to, createStateMessage(nodes, updates, aliveList));
+    const activeRemoteRelays = (): readonly string[] => {
+      const relays: string[] = [];
+      for (const dataCentre of options.topology().dataCentres) {
+        const relay = dataCentre === options.dataCentre ? undefined : activeRelay(dataCentre);
+        if (relay !== undefined) {
+          relays.push(relay);
+        }
       }
+      return relays;
     };
 
-    const fromOwnDataCentre = (updates: SharedUpdates): SharedUpdates => ({
-      loads: updates.loads.filter(({ node }) => isInOwnDataCentre(node)),
-      reports: updates.reports.filter(({ node }) => isInOwnDataCentre(node)),
-    });
-
-    const fromThisNode = (updates: SharedUpdates): SharedUpdates => ({
-      loads: updates.loads.filter(({ node }) => node === options.node),
-      reports: updates.reports.filter(({ node }) => node === options.node),
-    });
-
     /**
      * A relay forwards updates of its own data centre to the other relays, and all updates to its
-     * own nodes.
+     * own nodes. Any other node announces only itself.
      */
-    const sendAsRelay = (
-      changed: readonly NodeState[],
+    const audiences = (): readonly Audience[] => {
+      const topology = options.topology();
+      const relay = activeRelay(options.dataCentre);
+      if (topology.isMesh) {
+        return [{ nodes: options.linkedNodes(), wants: isOwn, aliveList: () => undefined }];
+      }
+      if (relay !== options.node) {
+        const nodes = relay === undefined ? [] : [relay];
+        return [{ nodes, wants: isOwn, aliveList: () => undefined }];
+      }
+      const localNodes = options.linkedNodes().filter(isInOwnDataCentre);
+      return [
+        {
+          nodes: activeRemoteRelays(),
+          wants: isInOwnDataCentre,
+          aliveList: () => [options.node, ...localNodes],
+        },
+        {
+          nodes: localNodes,
+          wants: () => true,
+          aliveList: () => [options.node, ...alive.current()],
+        },
+      ];
+    };
+
+    const sendState = (
+      to: readonly string[],
+      nodes: readonly NodeState[],
       updates: SharedUpdates,
-      includeAlive: boolean,
+      aliveList?: readonly string[],
     ): void => {
-      const { dataCentres } = options.topology();
-      const linked = options.linkedNodes();
-      const localNodes = linked.filter(isInOwnDataCentre);
-      const remoteRelays: string[] = [];
-      for (const dataCentre of dataCentres) {
-        const relay = dataCentre === options.dataCentre ? undefined : activeRelay(dataCentre);
-        if (relay !== undefined) {
-          remoteRelays.push(relay);
-        }
+      for (const node of to) {
+        contacted.add(node);
       }
-      sendUnlessEmpty(
-        remoteRelays,
-        changed.filter(({ node }) => isInOwnDataCentre(node)),
-        fromOwnDataCentre(updates),
-        includeAlive ? [options.node, ...localNodes] : undefined,
-      );
-      sendUnlessEmpty(
-        localNodes,
-        changed,
-        updates,
-        includeAlive ? [options.node, ...aliveNodes()] : undefined,
-      );
+      options.send(to, {
+        kind: 'state',
+        nodes,
+        ...updates,
+        ...(aliveList === undefined ? {} : { alive: aliveList }),
+        revision: options.revision(),
+      });
     };
 
-    const takePending = (): {
-      readonly changed: readonly NodeState[];
-      readonly updates: SharedUpdates;
-    } => {
+    const announceOwnState = (): void => {
       if (ownStateChanged) {
         ownStateChanged = false;
-        states.set(options.node, ownState());
+        states.set(options.node, createOwnState());
         changedNodes.add(options.node);
       }
-      const changed: NodeState[] = [];
-      for (const node of changedNodes) {
-        const state = states.get(node);
+    };
+
+    const statesOf = (nodes: Iterable<string>, wants: Audience['wants']): readonly NodeState[] => {
+      const found: NodeState[] = [];
+      for (const node of nodes) {
+        const state = wants(node) ? states.get(node) : undefined;
         if (state !== undefined) {
-          changed.push(state);
+          found.push(state);
+        }
+      }
+      return found;
+    };
+
+    /** Sends the complete state to nodes that were not sent to before. */
+    const synchronize = ({ nodes, wants, aliveList }: Audience): void => {
+      const added = nodes.filter((node) => !synchronized.has(node));
+      if (added.length === 0) {
+        return;
+      }
+      const list = aliveList();
+      sendState(added, statesOf(states.keys(), wants), noUpdates, list);
+      for (const node of added) {
+        synchronized.add(node);
+        sentAliveLists.set(node, list?.join() ?? '');
+      }
+    };
+
+    const send = (): void => {
+      announceOwnState();
+      const recipients = new Set<string>();
+      for (const audience of audiences()) {
+        const known = audience.nodes.filter((node) => synchronized.has(node));
+        const changed = statesOf(changedNodes, audience.wants);
+        const updates = {
+          loads: loads.filter(({ node }) => audience.wants(node)),
+          reports: reports.filter(({ node }) => audience.wants(node)),
+        };
+        const size = changed.length + updates.loads.length + updates.reports.length;
+        if (size > 0 && known.length > 0) {
+          sendState(known, changed, updates);
+        }
+        synchronize(audience);
+        for (const node of audience.nodes) {
+          recipients.add(node);
         }
       }
-      const updates = { loads, reports };
+      for (const node of synchronized) {
+        if (!recipients.has(node)) {
+          // Another relay is in use for it; if this one takes over again, it has missed changes.
+          synchronized.delete(node);
+        }
+      }
+      linksChanged = false;
       changedNodes.clear();
       loads = [];
       reports = [];
-      return { changed, updates };
     };
 
-    const send = (includeAlive: boolean): void => {
-      const { changed, updates } = takePending();
-      const topology = options.topology();
-      const relay = activeRelay(options.dataCentre);
-      if (!topology.isMesh && relay === options.node) {
-        sendAsRelay(changed, updates, includeAlive);
-        return;
+    /** Tells nodes which others are alive, if that has changed since they were told. */
+    const sendAliveLists = (): void => {
+      for (const { nodes, aliveList } of audiences()) {
+        const list = aliveList();
+        const text = list?.join() ?? '';
+        const outdated = nodes.filter((node) => sentAliveLists.get(node) !== text);
+        if (list !== undefined && outdated.length > 0) {
+          sendState(outdated, [], noUpdates, list);
+          for (const node of outdated) {
+            sentAliveLists.set(node, text);
+          }
+        }
       }
-      const recipients = topology.isMesh
-        ? options.linkedNodes()
-        : relay === undefined
-          ? []
-          : [relay];
-      const ownStates = changed.filter(({ node }) => node === options.node);
-      sendUnlessEmpty(recipients, ownStates, fromThisNode(updates));
     };
 
     const acceptState = (state: NodeState): void => {
-      if (state.node === options.node) {
+      if (isOwn(state.node)) {
         return;
       }
       const known = states.get(state.node);
@@ -242,9 +282,9 @@
     };
 
     const removeLostNodes = (): void => {
-      const aliveNow = aliveNodes();
+      const aliveNow = alive.current();
       for (const node of [...states.keys()]) {
-        if (node !== options.node && !aliveNow.has(node)) {
+        if (!isOwn(node) && !aliveNow.has(node)) {
           states.delete(node);
           changedNodes.delete(node);
           options.onNodeLost(node);
@@ -263,54 +303,59 @@
         reports.push({ node: options.node, service, report });
       },
       receive: (from, message) => {
-        if (message.alive !== undefined) {
-          aliveLists.set(from, { nodes: message.alive, atMs: options.nowMs() });
-        }
         for (const state of message.nodes) {
           acceptState(state);
         }
+        if (message.alive !== undefined) {
+          alive.setListOf(from, message.alive);
+          removeLostNodes();
+        }
         for (const shared of message.loads) {
-          if (shared.node !== options.node) {
+          if (!isOwn(shared.node)) {
             options.onLoad(shared.upstream, shared.load, options.nowMs() - shared.ageMs);
             loads.push(shared);
           }
         }
         for (const shared of message.reports) {
-          if (shared.node !== options.node) {
+          if (!isOwn(shared.node)) {
             options.onReport(shared.node, shared.service, shared.report);
             reports.push(shared);
           }
         }
       },
-      onLinkOpen: () => {
-        // The peer may be a relay that has just become active and has no states yet, so send it all
-        // of them.
-        ownStateChanged = true;
-        for (const node of states.keys()) {
-          changedNodes.add(node);
-        }
+      onLinkOpen: (node) => {
+        alive.onLinkOpen();
+        linksChanged = true;
+        synchronized.delete(node);
       },
       onLinkLost: (node) => {
-        aliveLists.delete(node);
+        alive.onLinkLost(node);
+        linksChanged = true;
+        synchronized.delete(node);
+        sentAliveLists.delete(node);
         removeLostNodes();
       },
-      flush: () => {
-        send(false);
-      },
+      flush: send,
       heartbeat: () => {
-        removeLostNodes();
-        ownStateChanged = true;
-        send(true);
-        const { isMesh } = options.topology();
-        if (!isMesh) {
-          // Neighbours that get no other message would close the link when its timeout expires, so
-          // send an empty one.
-          options.send(options.linkedNodes(), createStateMessage([], { loads: [], reports: [] }));
-        }
+        ownStateChanged ||=
+          options.nowMs() - announcedAtMs >= refreshIntervalMs ||
+          options.storeAccess() !== announcedAccess;
+        send();
+        sendAliveLists();
+        sendState(
+          options.linkedNodes().filter((node) => !contacted.has(node)),
+          [],
+          noUpdates,
+        );
+        contacted.clear();
       },
       hasPending: () =>
-        ownStateChanged || changedNodes.size > 0 || loads.length > 0 || reports.length > 0,
-      aliveNodes,
+        ownStateChanged ||
+        linksChanged ||
+        changedNodes.size > 0 ||
+        loads.length > 0 ||
+        reports.length > 0,
+      aliveNodes: alive.current,
       states: () => states,
     };
   },
--- a/packages/serving/src/topology.test.ts
+++ b/packages/serving/src/topology.test.ts
@@ -52,19 +52,48 @@
     // s.
     const nodes = createNodes(7, 4);
     for (const [index, { node }] of nodes.entries()) {
-      expect(followsStore(topologyOf(nodes, index), node, 6)).to.equal(true);
+      const followers = { watching: 6, canFollow: () => true };
+      expect(followsStore(topologyOf(nodes, index), node, followers)).to.equal(true);
     }
   });
 
-  it('lets relays watch the store for the others, unless fewer than two other nodes do', () => {
+  it('lets three relays of different data centres watch the store for all nodes', () => {
+    // Guards against calls to the store that grow with the number of nodes: each change answered
+    // the watches of two relays in each data centre.
+    const nodes = createNodes(195, 6);
+    const followers = { watching: 3, canFollow: () => true };
+    const following = nodes.filter(({ node }, index) =>
+      followsStore(topologyOf(nodes, index), node, followers),
+    );
+    expect(following).to.have.length(3);
+    expect(new Set(following.map(({ dataCentre }) => dataCentre)).size).to.equal(3);
+  });
+
+  it('replaces relays that are gone or have lost the store by the next ones', () => {
+    const nodes = createNodes(195, 6);
+    const { relays } = topologyOf(nodes, 0);
+    expect(relays).to.have.length(12);
+    const lost = new Set(relays.slice(0, 2));
+    const followers = { watching: 2, canFollow: (node: string) => !lost.has(node) };
+    const following = relays.filter((relay) =>
+      followsStore(
+        topologyOf(
+          nodes,
+          nodes.findIndex(({ node }) => node === relay),
+        ),
+        relay,
+        followers,
+      ),
+    );
+    expect(following).to.deep.equal(relays.slice(0, 5));
+  });
+
+  it('lets any node watch the store if fewer than two other nodes do', () => {
     const nodes = createNodes(87, 4);
-    const topology = topologyOf(nodes, 0);
-    expect(topology.relays).to.have.length(8);
-    for (const relay of topology.relays) {
-      expect(followsStore(topology, relay, 7)).to.equal(true);
-    }
-    expect(followsStore(topology, 'n050', 8)).to.equal(false);
-    expect(followsStore(topology, 'n050', 1)).to.equal(true);
+    const topology = topologyOf(nodes, 50);
+    const canFollow = (): boolean => true;
+    expect(followsStore(topology, 'n050', { watching: 3, canFollow })).to.equal(false);
+    expect(followsStore(topology, 'n050', { watching: 1, canFollow })).to.equal(true);
   });
 
   it('gives the same connections at both ends', () => {
--- a/packages/serving/src/topology.ts
+++ b/packages/serving/src/topology.ts
@@ -20,7 +20,10 @@
   readonly relaysOf: (dataCentre: string) => readonly string[];
   readonly dataCentres: readonly string[];
   readonly dataCentreOf: (node: string) => string | undefined;
-  /** The relays of all data centres, which watch the store on behalf of the others. */
+  /**
+   * The relays of all data centres, in the same order at every node: first one of each data centre,
+   * then the second ones.
+   */
   readonly relays: readonly string[];
 }
 
@@ -28,18 +31,65 @@
 const maxMeshNodes = 16;
 const relaysPerDataCentre = 2;
 
-/** With fewer other nodes watching the store, a node watches it even if it is not a relay. */
+/** Relays of different data centres that watch the store on behalf of all nodes. */
+const storeFollowers = 3;
+/** With fewer other nodes watching the store, any node watches it. */
 const minOtherStoreFollowers = 2;
 
+/** What a node knows about who watches the store. */
+export interface StoreFollowers {
+  /** Whether another node is alive and has not lost the store. */
+  readonly canFollow: (node: string) => boolean;
+  /** Number of other nodes that are known to watch the store. */
+  readonly watching: number;
+}
+
 /**
- * Whether a node watches the store itself, instead of learning about changes from the relays, which
- * all watch it.
+ * Whether a node watches the store itself, instead of learning about changes from others. Each
+ * change answers every watch, and all calls together are limited and paid for, so with many nodes
+ * only the first relays watch; the next ones replace those that are gone or have lost the store.
  *
- * Fault: the store stops answering half of the nodes, which they notice only seconds later. With
- * just a few watching nodes, all of them can be affected, and then no node learns about changes.
+ * In a full mesh all nodes watch: when the store stops answering half of the nodes, which they
+ * notice only seconds later, a few watching nodes can all be affected.
  */
-export const followsStore = (topology: Topology, node: string, otherFollowers: number): boolean =>
-  topology.relays.includes(node) || otherFollowers < minOtherStoreFollowers;
+export const followsStore = (
+  { isMesh, relays }: Topology,
+  node: string,
+  { canFollow, watching }: StoreFollowers,
+): boolean => {
+  if (isMesh || watching < minOtherStoreFollowers) {
+    return true;
+  }
+  let preceding = 0;
+  for (const relay of relays) {
+    if (relay === node) {
+      return true;
+    }
+    preceding += canFollow(relay) ? 1 : 0;
+    if (preceding === storeFollowers) {
+      return false;
+    }
+  }
+  return false;
+};
+
+/** Orders relays by their rank in their data centre, then by the name of the data centre. */
+const rankRelays = (relays: ReadonlyMap<string, readonly string[]>): readonly string[] => {
+  const dataCentres = [...relays.keys()].sort();
+  const ranked: string[] = [];
+  for (let rank = 0; ; rank += 1) {
+    const before = ranked.length;
+    for (const dataCentre of dataCentres) {
+      const relay = relays.get(dataCentre)?.[rank];
+      if (relay !== undefined) {
+        ranked.push(relay);
+      }
+    }
+    if (ranked.length === before) {
+      return ranked;
+    }
+  }
+};
 
 const largestFirst = (a: TopologyNode, b: TopologyNode): number =>
   b.capacity - a.capacity || (a.node < b.node ? -1 : 1);
@@ -70,7 +120,7 @@
           .map(({ node }) => node),
       );
     }
-    const allRelays = [...relays.values()].flat();
+    const allRelays = rankRelays(relays);
     const isRelay = allRelays.includes(own.node);
     const neighbours = new Set(isRelay ? allRelays : relays.get(own.dataCentre));
     if (isRelay) {
