Keep a process alive after an unexpected error, and answer what it has read

Looked for what operators of similar systems report: - An error that nothing handles ended the process. The loops of the registration and of the store's mirror go on after an unexpected error, and one change that can't be applied doesn't keep out those after it. - A planned stop cut a request whose body was still being read, as only routed requests counted as open, and cut requests that came in while the lease was being revoked. The listener closes first now, and requests count from their head to the end of their response.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -8,6 +8,7 @@
   type Service,
   type Target,
 } from '@zinniagrade/serving';
+import { RequestBodies } from './request-bodies.js';
 import { sendFailure } from './responses.js';
 import type { Call, ServingContext } from './call.js';
 import type { CallerRequest, ReadCallerRequest } from './caller-request.js';
@@ -16,8 +17,11 @@
 const defaultCallerTimeoutMs = 60_000;
 /** Retry delay while there is no configuration: a store outage lasts seconds. */
 const noConfigurationRetryAfterMs = 2000;
-/** Retry delay when body memory is full; some requests have ended by then and freed theirs. */
-const memoryFullRetryAfterMs = 500;
+/**
+ * Time for a caller to read the refusal of a request whose body it still sends, before its
+ * connection is closed.
+ */
+const lingerMs = 500;
 /**
  * A node that shuts down refuses requests that can't complete in time; other nodes can serve them
  * at once.
@@ -37,7 +41,8 @@
   readonly server: Server;
   /** Applies the connection limits of a configuration. */
   readonly configure: (configuration: Configuration) => void;
-  readonly openRequests: () => number;
+  /** Requests from the arrival of their head until their response was sent. */
+  readonly activeRequests: () => number;
 }
 
 const chooseTarget = (targets: readonly Target[], random: () => number): Target | undefined => {
@@ -58,38 +63,8 @@
 export const CallerServer = {
   create: (context: ServingContext, options: CallerServerOptions): CallerServer => {
     const { clock, log, metrics, cluster } = context;
-    const maxBufferedBytes = context.limits.maxRequestBodyBytes;
-    let bufferedBytes = 0;
-    let openRequests = 0;
-
-    /** Reads the complete body, or returns the reason to refuse the request. */
-    const readBody = (message: IncomingMessage, limit: number): Promise<Buffer | Failure> =>
-      new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
-        let size = 0;
-        message.on('data', (chunk: Buffer) => {
-          size += chunk.length;
-          if (size > limit) {
-            resolve(
-              Failure.create(
-                'payload-too-large',
-                `request body exceeds the limit of ${String(limit)} bytes`,
-              ),
-            );
-            message.removeAllListeners('data');
-            message.resume();
-            return;
-          }
-          chunks.push(chunk);
-        });
-        message.on('end', () => {
-          resolve(Buffer.concat(chunks));
-        });
-        message.on('error', reject);
-        message.on('close', () => {
-          reject(new Error('caller closed the connection before the request body was complete'));
-        });
-      });
+    const bodies = RequestBodies.create(clock, context.limits.maxRequestBodyBytes);
+    let activeRequests = 0;
 
     const createCall = (
       request: CallerRequest,
@@ -102,13 +77,9 @@
     ): Call => {
       const listeners: (() => void)[] = [];
       let ended = false;
-      openRequests += 1;
-      bufferedBytes += body.length;
       metrics.addOpenRequests(1);
       const end = (outcome: string, detail?: string, retryAfterMs?: number): void => {
         ended = true;
-        openRequests -= 1;
-        bufferedBytes -= body.length;
         metrics.addOpenRequests(-1);
         const tookMs = clock.monotonicMs() - arrivedAtMs;
         metrics.recordResponse(route.name, outcome, tookMs);
@@ -185,6 +156,26 @@
       sendFailure(response, failure);
     };
 
+    const releaseWhenClosed = (response: ServerResponse, body: Buffer): void => {
+      if (response.destroyed) {
+        bodies.release(body);
+      } else {
+        response.once('close', () => {
+          bodies.release(body);
+        });
+      }
+    };
+
+    /** Closes the connection of a caller that may never stop to send its body. */
+    const closeAfterRefusal = (message: IncomingMessage, response: ServerResponse): void => {
+      response.shouldKeepAlive = false;
+      response.once('finish', () => {
+        clock.after(lingerMs, () => {
+          message.socket.destroy();
+        });
+      });
+    };
+
     const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
       const arrivedAtMs = clock.monotonicMs();
       const read = options.read(message);
@@ -195,11 +186,16 @@
       const request = read.unsafeCoerce();
       const configuration = cluster.configuration();
       const routes = cluster.routes();
-      const body = await readBody(message, configuration?.limits.maxBodyBytes ?? maxBufferedBytes);
+      const body = await bodies.read(message, {
+        maxBytes: configuration?.limits.maxBodyBytes ?? context.limits.maxRequestBodyBytes,
+        timeoutMs: request.waitsMs ?? defaultCallerTimeoutMs,
+      });
       if (!Buffer.isBuffer(body)) {
+        closeAfterRefusal(message, response);
         refuse(response, request, body);
         return;
       }
+      releaseWhenClosed(response, body);
       if (configuration === undefined || routes === undefined) {
         const failure = Failure.create(
           'store-unavailable',
@@ -245,14 +241,6 @@
         );
         return;
       }
-      if (bufferedBytes + body.length > maxBufferedBytes) {
-        refuse(
-          response,
-          request,
-          Failure.create('overloaded', 'memory for request bodies is full', memoryFullRetryAfterMs),
-        );
-        return;
-      }
       const remainingMs = context.remainingDrainMs();
       if (remainingMs !== undefined) {
         response.shouldKeepAlive = false;
@@ -275,6 +263,10 @@
     };
 
     const server = createServer({ keepAliveTimeout: 0 }, (message, response) => {
+      activeRequests += 1;
+      response.once('close', () => {
+        activeRequests -= 1;
+      });
       response.on('error', (error) => {
         log.decision('caller connection failed', { reason: error.message });
       });
@@ -290,7 +282,7 @@
         server.keepAliveTimeout = limits.idleTimeoutMs;
         server.headersTimeout = limits.headerTimeoutMs;
       },
-      openRequests: () => openRequests,
+      activeRequests: () => activeRequests,
     };
   },
 };
--- a/packages/gateway/src/cluster-state.ts
+++ b/packages/gateway/src/cluster-state.ts
@@ -95,10 +95,11 @@
       }
     };
 
-    const applyConfiguration = (next: Configuration, revision: number): void => {
+    /** Returns whether the configuration is in force now. */
+    const applyConfiguration = (next: Configuration, revision: number): boolean => {
       if (configuration !== undefined && next.version < configuration.version) {
         log.event('configuration ignored', { version: next.version, revision, reason: 'older' });
-        return;
+        return false;
       }
       configuration = next;
       routes = RouteTable.create(next);
@@ -107,6 +108,7 @@
         revision,
         routes: next.routes.length,
       });
+      return true;
     };
 
     const applyUpstream = (
@@ -136,7 +138,9 @@
     const apply = (change: ClusterChange, revision: number, nowMs: number): void => {
       switch (change.kind) {
         case 'configuration':
-          applyConfiguration(change.configuration, revision);
+          if (!applyConfiguration(change.configuration, revision)) {
+            return;
+          }
           break;
         case 'upstream':
           applyUpstream(change.id, change.upstream, revision, nowMs);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -330,7 +330,7 @@
     const whenIdle = (): Promise<void> =>
       new Promise((resolve) => {
         const cancel = clock.every(idleCheckIntervalMs, () => {
-          if (callerServer.openRequests() === 0 || remainingDrainMs() === 0) {
+          if (callerServer.activeRequests() === 0 || remainingDrainMs() === 0) {
             cancel();
             resolve();
           }
@@ -345,19 +345,20 @@
       },
       shutDown: async () => {
         leavingSinceMs ??= clock.monotonicMs();
-        log.event('leaving', { open: callerServer.openRequests(), graceMs: settings.graceMs });
+        log.event('leaving', { open: callerServer.activeRequests(), graceMs: settings.graceMs });
         registration.update(platform.encodeNode(ownEntry()));
         await new Promise<void>((resolve) => {
           clock.after(settings.graceMs / 2, resolve);
         });
-        await whenIdle();
-        log.event('stopped', { open: callerServer.openRequests() });
+        // No connection is accepted from here on; requests on open ones are still served.
+        callerServer.server.close();
+        await Promise.all([whenIdle(), registration.end()]);
+        log.event('stopped', { open: callerServer.activeRequests() });
         stopTicks();
         loadPolling.stop();
         rollouts.stop();
         peers.close();
         mirror.stop();
-        await registration.end();
         for (const server of servers) {
           server.close();
           server.closeAllConnections();
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -95,16 +95,17 @@
 
     const run = async (): Promise<void> => {
       while (!ended) {
-        await step();
+        try {
+          await step();
+        } catch (error) {
+          logTransition(false, String(error));
+        }
         await new Promise<void>((resolve) => {
           clock.after(leaseMs / renewalsPerLease, resolve);
         });
       }
     };
-    run().catch((error: unknown) => {
-      log.event('registration loop failed', { reason: String(error) });
-      throw error;
-    });
+    void run();
 
     return {
       update: (newValue) => {
--- a/packages/gateway/src/store-mirror.ts
+++ b/packages/gateway/src/store-mirror.ts
@@ -65,6 +65,15 @@
     let retryDelayMs = initialRetryDelayMs;
     let watching = false;
 
+    /** Applies a change; one that can't be applied must not keep out the changes after it. */
+    const notify = (key: string, value: Buffer | undefined, revision: Revision): void => {
+      try {
+        options.onChange(key, value, revision);
+      } catch (error) {
+        log.event('store change failed', { key, revision, reason: String(error) });
+      }
+    };
+
     /**
      * Returns whether the change was newer than the known state, as do `remove` and `applyRemoval`.
      */
@@ -72,7 +81,7 @@
       delayedRemovals.delete(key);
       const isNew = mirrored.set(key, value, revision);
       if (isNew) {
-        options.onChange(key, value, revision);
+        notify(key, value, revision);
       }
       return isNew;
     };
@@ -81,7 +90,7 @@
       delayedRemovals.delete(key);
       const isNew = mirrored.remove(key, revision);
       if (isNew) {
-        options.onChange(key, undefined, revision);
+        notify(key, undefined, revision);
       }
       return isNew;
     };
@@ -195,14 +204,17 @@
           await waitWhileRelayed();
           continue;
         }
-        await (watchRevision === undefined ? listAll() : watchFrom(watchRevision));
+        try {
+          await (watchRevision === undefined ? listAll() : watchFrom(watchRevision));
+        } catch (error) {
+          // The state may be incomplete now, so it is read again as a whole.
+          watchRevision = undefined;
+          await backOffUnavailable(String(error));
+        }
         watching = unavailableSinceMs === undefined;
       }
     };
-    run().catch((error: unknown) => {
-      log.event('store mirror failed', { reason: String(error) });
-      throw error;
-    });
+    void run();
 
     return {
       isComplete: () => complete,
