Spread placements that other nodes do not know of yet

Ruled out: too few engines, as prompts take less than half of the engines' time by the site's figures.

A node now estimates how many placements it can't know of (its own rate times the others, times the delay of announcements) and chooses at random among so many more of the cheapest, unless one costs more than a second prompt at the cheapest. With few nodes the estimate is near zero and nothing changes.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -31,6 +31,8 @@
   readonly rollouts: Rollouts;
   /** Requests and memory that other nodes use at an upstream. */
   readonly peerUse: (upstream: string) => UpstreamUse;
+  /** Placements of a service by other nodes that this node does not know of yet. */
+  readonly unknownPlacements: (service: string) => number;
   /** To be called after the set of this node's requests at upstreams has changed. */
   readonly onUseChanged: () => void;
   /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -184,6 +184,14 @@
       isWithinColdLimit: isWithinColdStartLimit,
       rollouts,
       peerUse: peers.peerUse,
+      unknownPlacements: (service) =>
+        serviceRecords
+          .get(service)
+          .placements.unknownPlacements(
+            clock.monotonicMs(),
+            context.nodeCount(),
+            peers.announcementDelayMs(),
+          ),
       onUseChanged: peers.onUseChanged,
       turnDelayMs: peers.turnDelayMs,
       remainingDrainMs,
--- a/packages/gateway/src/node-peers.ts
+++ b/packages/gateway/src/node-peers.ts
@@ -36,6 +36,8 @@
   readonly open: (secret: string) => void;
   readonly onUseChanged: () => void;
   readonly peerUse: (upstream: string) => UpstreamUse;
+  /** Time until all nodes know of a change at one of them, without the delay of links. */
+  readonly announcementDelayMs: () => number;
   readonly shareLoad: (upstream: string, load: EngineLoad) => void;
   readonly shareReport: (service: string, report: RolloutReport) => void;
   /**
@@ -79,6 +81,8 @@
 const relayBatchDelayMsPerNode = 0.5;
 const minRelayBatchDelayMs = 20;
 const maxRelayBatchDelayMs = 100;
+/** Between nodes of different data centres. */
+const relaysOnPath = 2;
 /** Heartbeats also show the other nodes that this one is alive. */
 const heartbeatIntervalMs = 500;
 
@@ -309,6 +313,8 @@
         scheduleFlush();
       },
       peerUse: peerUse.totalFor,
+      announcementDelayMs: () =>
+        topology().isMesh ? batchDelayMs : batchDelayMs + relaysOnPath * relayBatchDelayMs(),
       shareLoad: (upstream, load) => {
         broadcast.shareLoad(upstream, load);
         scheduleFlush();
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -43,7 +43,7 @@
   const idempotent = route.kind === 'idempotent';
   const excluded = new Set<string>();
   const attempts = new Set<Attempt>();
-  const { budget } = context.recordOf(service.name);
+  const { budget, placements } = context.recordOf(service.name);
   let possibleRuns = 0;
   let sends = 0;
   let refusals = 0;
@@ -55,6 +55,7 @@
     withdrawnDataCentres: context.cluster.withdrawn,
     allows: (member) => context.isWithinColdLimit(member) && call.allowsVersionOf(member),
     peerUse: context.peerUse,
+    unknownPlacements: context.unknownPlacements(service.name),
   });
 
   const logAttempt = (outcome: string, member: FleetMember, detail?: string | number): void => {
@@ -187,6 +188,7 @@
     const { upstream } = member;
     const sentAtMs = clock.monotonicMs();
     excluded.add(upstream.id);
+    placements.record(sentAtMs);
     sends += 1;
     if (sends === 1) {
       budget.recordFirstSend(sentAtMs);
--- a/packages/gateway/src/service-records.ts
+++ b/packages/gateway/src/service-records.ts
@@ -1,5 +1,6 @@
 import {
   Departures,
+  PlacementRate,
   RetryAfterSchedule,
   RetryBudget,
   StatedTimeouts,
@@ -10,6 +11,7 @@
 export interface ServiceRecord {
   readonly budget: RetryBudget;
   readonly departures: Departures;
+  readonly placements: PlacementRate;
   readonly returnTimes: RetryAfterSchedule;
   readonly statedWaits: StatedTimeouts;
 }
@@ -34,6 +36,7 @@
         const record = {
           budget: RetryBudget.create(bounds),
           departures: Departures.create(),
+          placements: PlacementRate.create(),
           returnTimes: RetryAfterSchedule.create(),
           statedWaits: StatedTimeouts.create(),
         };
--- a/packages/gateway/src/stream-placement.ts
+++ b/packages/gateway/src/stream-placement.ts
@@ -83,6 +83,7 @@
       withdrawnDataCentres: cluster.withdrawn,
       allows: (member) => context.isWithinColdLimit(member) && call.allowsVersionOf(member),
       peerUse: context.peerUse,
+      unknownPlacements: context.unknownPlacements(call.service.name),
       ...(near === undefined ? {} : { locality: near }),
     });
 
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -84,6 +84,7 @@
       isBackup: false,
     };
     recordColdSend(member, sentAtMs);
+    context.recordOf(call.service.name).placements.record(sentAtMs);
     member.ownRuns.set(runKey, run);
     backup?.ownRuns.set(backupKey, { ...run, promptTokens: 0, isBackup: true });
     context.onUseChanged();
--- a/packages/serving/src/admission.test.ts
+++ b/packages/serving/src/admission.test.ts
@@ -39,6 +39,7 @@
   excludedUpstreams: new Set(),
   withdrawnDataCentres: new Set(),
   allows: () => true,
+  unknownPlacements: 0,
   peerUse: (upstream) => peers.totalFor(upstream),
 };
 
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -6,6 +6,7 @@
 export * from './fleet.js';
 export * from './peer-use.js';
 export * from './placement.js';
+export * from './placement-rate.js';
 export * from './retry-budget.js';
 export * from './retry-after-schedule.js';
 export * from './rollout.js';
--- a/packages/serving/src/placement.test.ts
+++ b/packages/serving/src/placement.test.ts
@@ -44,9 +44,58 @@
   withdrawnDataCentres: new Set(),
   allows: () => true,
   peerUse: (upstream) => peers.totalFor(upstream),
+  unknownPlacements: 0,
   ...overrides,
 });
 
+/** Time for which an engine reads the prompt of `need`, and in which none of its others begin. */
+const promptMs = 420;
+
+/**
+ * Places generations at a constant rate, each by a node that knows of the others only after
+ * `announcementMs`, and returns the 95th percentile of the times to the first event.
+ */
+const simulateBlindPlacement = (unknownPlacements: number, announcementMs: number): number => {
+  const engineCount = 39;
+  const intervalMs = 22;
+  const random = Random.create(7);
+  const { members } = createFleet(engineCount);
+  for (const [index, member] of members.entries()) {
+    // Engines differ a little, so that all nodes prefer the same one.
+    member.msPerPromptToken = 0.13 + 0.001 * index;
+  }
+  const freeAtMs = new Map<FleetMember, number>();
+  const waits: number[] = [];
+  const pending: { readonly member: FleetMember; readonly id: string; readonly atMs: number }[] =
+    [];
+  for (let nowMs = 0; nowMs < 20_000; nowMs += intervalMs) {
+    for (const { member, id, atMs } of pending) {
+      if (atMs + announcementMs <= nowMs) {
+        addRun(member, id);
+      }
+    }
+    for (const member of members) {
+      if ((freeAtMs.get(member) ?? 0) <= nowMs) {
+        member.ownRuns.clear();
+      }
+    }
+    const constraints = createConstraints(PeerUse.create(), { nowMs, unknownPlacements });
+    const member = placeGeneration(members, need, engineTokens, constraints, random);
+    if (member === undefined) {
+      throw new Error('no engine is usable');
+    }
+    const beginsAtMs = Math.max(nowMs, freeAtMs.get(member) ?? 0) + promptMs;
+    freeAtMs.set(member, beginsAtMs);
+    waits.push(beginsAtMs - nowMs);
+    pending.push({ member, id: String(nowMs), atMs: nowMs });
+    while ((pending[0]?.atMs ?? nowMs) + announcementMs + intervalMs < nowMs) {
+      pending.shift();
+    }
+  }
+  waits.sort((a, b) => a - b);
+  return waits[Math.floor(waits.length * 0.95)] ?? 0;
+};
+
 const addRun = (member: FleetMember, requestId: string, isBackup = false): void => {
   member.ownRuns.set(requestId, {
     requestId,
@@ -59,6 +108,30 @@
 };
 
 describe('placement', () => {
+  it('spreads generations that many nodes place before they know of each other', () => {
+    // Guards against 77 nodes that all choose the same engine within the 85 ms that their
+    // announcements take over two relays, so that prompts wait there while other engines are idle.
+    const announcementMs = 85;
+    const unknownPlacements = announcementMs / 22;
+    const ignored = simulateBlindPlacement(0, announcementMs);
+    const considered = simulateBlindPlacement(unknownPlacements, announcementMs);
+    expect(considered).to.be.lessThan(ignored);
+    expect(considered).to.be.at.most(2 * promptMs);
+  });
+
+  it('takes the cheapest engine where announcements arrive at once', () => {
+    const random = Random.create(3);
+    const { members } = createFleet(5);
+    for (const member of members.slice(1)) {
+      addRun(member, 'r');
+    }
+    for (let count = 0; count < 20; count += 1) {
+      const constraints = createConstraints(PeerUse.create());
+      const member = placeGeneration(members, need, engineTokens, constraints, random);
+      expect(member).to.equal(members[0]);
+    }
+  });
+
   it('spreads a burst that several nodes send based on the same outdated load reports', () => {
     // Load pattern: engines have just started, their reports say idle, and all nodes read them.
     const nodes = 7;
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -21,6 +21,8 @@
   readonly locality?: { readonly dataCentre: string; readonly remotePenaltyMs: number };
   /** Use of an upstream by the other nodes. */
   readonly peerUse: (upstream: string) => UpstreamUse;
+  /** Requests that other nodes are placing right now, unknown to this node; see `PlacementRate`. */
+  readonly unknownPlacements: number;
 }
 
 /** Expected use of an upstream by all nodes. */
@@ -48,6 +50,9 @@
 /** Cost per unit of memory share above `preemptionMemoryShare`: a preempted stream is late. */
 const overflowPenaltyMs = 20_000;
 
+/** Upstreams for each unknown placement; with fewer, many of the random choices still meet. */
+const candidatesPerPlacement = 3;
+
 /** Whether the upstream may get new requests at all. */
 export const isUsable = (member: FleetMember, constraints: PlacementConstraints): boolean =>
   !member.leaving &&
@@ -162,32 +167,37 @@
   );
 };
 
-/** An upstream of the lowest cost; ties are broken at random. */
-const cheapest = (
+/**
+ * Chooses an upstream of low cost at random: among those that tie for the lowest, and among as many
+ * of the next ones as other nodes place requests without knowing of this one. This is for many
+ * nodes that decide within the time that their announcements take: with the same figures, all of
+ * them would choose the same upstream. One that costs more than a second request at the cheapest
+ * (`collisionCost`) is never worth it.
+ */
+const chooseCheap = (
   members: readonly FleetMember[],
   cost: (member: FleetMember) => number,
+  collisionCost: number,
+  unknownPlacements: number,
   random: Random,
 ): FleetMember | undefined => {
-  let lowest = Infinity;
-  const costs: (readonly [FleetMember, number])[] = [];
-  for (const member of members) {
-    const value = cost(member);
-    costs.push([member, value]);
-    lowest = Math.min(lowest, value);
-  }
-  const ties: FleetMember[] = [];
-  for (const [member, value] of costs) {
-    if (value <= lowest * (1 + tieTolerance)) {
-      ties.push(member);
+  const candidates = members.map((member) => ({ member, cost: cost(member) }));
+  candidates.sort((a, b) => a.cost - b.cost);
+  const lowest = candidates[0]?.cost ?? 0;
+  const spreadCount = 1 + Math.round(candidatesPerPlacement * unknownPlacements);
+  let count = 0;
+  for (const candidate of candidates) {
+    const isTie = candidate.cost <= lowest * (1 + tieTolerance);
+    const isSpread = count < spreadCount && candidate.cost <= lowest + collisionCost;
+    if (!isTie && !isSpread) {
+      break;
     }
+    count += 1;
   }
-  return ties[Math.floor(random() * ties.length)];
+  return candidates[Math.floor(random() * count)]?.member;
 };
 
-/**
- * Chooses an engine for a generation. Load pattern: long generations that fill engine memory as
- * they grow.
- */
+/** Chooses an engine for a generation. This is for long generations that fill engine memory. */
 export const placeGeneration = (
   members: readonly FleetMember[],
   need: GenerationNeed,
@@ -196,15 +206,17 @@
   random: Random,
 ): FleetMember | undefined => {
   const typicalMsPerToken = typicalMsPerPromptToken(members);
-  return cheapest(
+  return chooseCheap(
     members.filter((member) => isUsable(member, constraints)),
     (member) => generationCostMs(member, need, engineMemoryTokens, constraints, typicalMsPerToken),
+    need.promptTokens * typicalMsPerToken,
+    constraints.unknownPlacements,
     random,
   );
 };
 
 /**
- * Chooses an upstream for a plain request. Load pattern: short requests to a few upstreams, some of
+ * Chooses an upstream for a plain request. This is for short requests to a few upstreams, some of
  * them slow or failing part of the time.
  */
 export const placeCall = (
@@ -226,5 +238,7 @@
       (1 + failureWeight * member.failureShare)
     );
   };
-  return cheapest(usable, callCost, random);
+  const slots = usable[0]?.upstream.slots ?? 1;
+  const collisionCost = meanLatencyMs / Math.max(1, slots);
+  return chooseCheap(usable, callCost, collisionCost, constraints.unknownPlacements, random);
 };
