Check less often whether a node has to watch the store

A node that gets changes from others woke up ten times a second for this check. Three times a second are enough: a node without followers learns of changes 0.3 s later, within the bounds of a second or more.

--- a/packages/gateway/src/store-mirror.ts
+++ b/packages/gateway/src/store-mirror.ts
@@ -50,7 +50,7 @@
 const initialRetryDelayMs = 100;
 const maxRetryDelayMs = 800;
 /** Interval at which a node that doesn't watch the store checks whether it should. */
-const relayCheckIntervalMs = 100;
+const relayCheckIntervalMs = 300;
 
 export const StoreMirror = {
   create: (store: MetadataStore, clock: Clock, log: Log, options: MirrorOptions): StoreMirror => {
