--- a/packages/gateway/src/peer-broadcast.test.ts
+++ b/packages/gateway/src/peer-broadcast.test.ts
@@ -15,6 +15,8 @@
   readonly sendHeartbeats: () => void;
   readonly kill: (node: string) => void;
   readonly messagesSentBy: (node: string) => number;
+  /** States of nodes in all messages so far. */
+  readonly statesSent: () => number;
 }
 
 const flushRounds = 4;
@@ -32,6 +34,7 @@
   const uses = new Map<string, number>();
   const sent = new Map<string, number>();
   const dead = new Set<string>();
+  let statesSent = 0;
 
   const linkedOf = (node: string): readonly string[] =>
     [...(topologies.get(node)?.neighbours ?? [])].filter(
@@ -42,6 +45,7 @@
     for (const node of to) {
       sent.set(from, (sent.get(from) ?? 0) + 1);
       if (message.kind === 'state' && !dead.has(node)) {
+        statesSent += message.nodes.length;
         exchanges.get(node)?.receive(from, message);
       }
     }
@@ -125,6 +129,7 @@
       }
     },
     messagesSentBy: (node) => sent.get(node) ?? 0,
+    statesSent: () => statesSent,
   };
 };
 
@@ -187,4 +192,14 @@
     network.flushAll();
     expect(network.messagesSentBy('n80') - before).to.equal(1);
   });
+
+  it('sends no states while nothing changes', () => {
+    // Guards against nodes at rest that read the states of all others twice a second.
+    const network = createNetwork(87, 4);
+    network.sendHeartbeats();
+    network.sendHeartbeats();
+    const before = network.statesSent();
+    network.sendHeartbeats();
+    expect(network.statesSent() - before).to.equal(0);
+  });
 });
--- a/packages/gateway/src/peer-broadcast.ts
+++ b/packages/gateway/src/peer-broadcast.ts
@@ -5,6 +5,7 @@
   type UpstreamUse,
 } from '@zinniagrade/serving';
 import { AliveNodes } from './alive-nodes.js';
+import { createAudiences, type Audience } from './peer-audiences.js';
 import type {
   NodeMessage,
   NodeState,
@@ -74,21 +75,19 @@
   readonly reports: readonly SharedReport[];
 }
 
-/** Nodes that get the same message. */
-interface Audience {
-  readonly nodes: readonly string[];
-  /** Whether the state of a node is forwarded to them. */
-  readonly wants: (node: string) => boolean;
-  /** Nodes that the sender vouches for; undefined if it is not a relay. */
-  readonly aliveList: () => readonly string[] | undefined;
-}
-
 const noUpdates: SharedUpdates = { loads: [], reports: [] };
 
 export const PeerBroadcast = {
   create: (options: PeerBroadcastOptions): PeerBroadcast => {
     const states = new Map<string, NodeState>();
     const alive = AliveNodes.create(options.node, options.linkedNodes);
+    const audiences = createAudiences({
+      node: options.node,
+      dataCentre: options.dataCentre,
+      topology: options.topology,
+      linkedNodes: options.linkedNodes,
+      aliveNodes: alive.current,
+    });
     const changedNodes = new Set<string>();
     /** Nodes that have been sent the complete state. */
     const synchronized = new Set<string>();
@@ -104,15 +103,6 @@
     let announcedAtMs = -Infinity;
     let announcedAccess: StoreAccess | undefined;
 
-    const isLinked = (node: string): boolean => options.linkedNodes().includes(node);
-
-    /** The first reachable relay of a data centre. */
-    const activeRelay = (dataCentre: string): string | undefined =>
-      options
-        .topology()
-        .relaysOf(dataCentre)
-        .find((relay) => relay === options.node || isLinked(relay));
-
     const createOwnState = (): NodeState => {
       sequence += 1;
       announcedAtMs = options.nowMs();
@@ -128,49 +118,6 @@
 
     const isOwn = (node: string): boolean => node === options.node;
 
-    const isInOwnDataCentre = (node: string): boolean =>
-      isOwn(node) || options.topology().dataCentreOf(node) === options.dataCentre;
-
-    const activeRemoteRelays = (): readonly string[] => {
-      const relays: string[] = [];
-      for (const dataCentre of options.topology().dataCentres) {
-        const relay = dataCentre === options.dataCentre ? undefined : activeRelay(dataCentre);
-        if (relay !== undefined) {
-          relays.push(relay);
-        }
-      }
-      return relays;
-    };
-
-    /**
-     * A relay forwards updates of its own data centre to the other relays, and all updates to its
-     * own nodes. Any other node announces only itself.
-     */
-    const audiences = (): readonly Audience[] => {
-      const topology = options.topology();
-      const relay = activeRelay(options.dataCentre);
-      if (topology.isMesh) {
-        return [{ nodes: options.linkedNodes(), wants: isOwn, aliveList: () => undefined }];
-      }
-      if (relay !== options.node) {
-        const nodes = relay === undefined ? [] : [relay];
-        return [{ nodes, wants: isOwn, aliveList: () => undefined }];
-      }
-      const localNodes = options.linkedNodes().filter(isInOwnDataCentre);
-      return [
-        {
-          nodes: activeRemoteRelays(),
-          wants: isInOwnDataCentre,
-          aliveList: () => [options.node, ...localNodes],
-        },
-        {
-          nodes: localNodes,
-          wants: () => true,
-          aliveList: () => [options.node, ...alive.current()],
-        },
-      ];
-    };
-
     const sendState = (
       to: readonly string[],
       nodes: readonly NodeState[],
--- a/packages/serving/src/admission.test.ts
+++ b/packages/serving/src/admission.test.ts
@@ -69,7 +69,7 @@
 
 describe('admission', () => {
   it('keeps memory free for the streams of an engine that leaves', () => {
-    // Load pattern: one of three engines leaves every few seconds, and there are more long
+    // One of three engines leaves every few seconds, and there are more long
     // generations than fit. Guards against losing its streams because no other engine has memory
     // for them.
     const members = createEngines(3);
@@ -81,7 +81,7 @@
   });
 
   it('does not queue more prompts than can start in time', () => {
-    // Load pattern: a burst of requests to an engine that has just started. Guards against a queue
+    // A burst of requests reaches an engine that has just started. Guards against a queue
     // in which every first event is late.
     const members = createEngines(1);
     const [engine] = members;
@@ -142,7 +142,7 @@
 
 describe('departures', () => {
   it('reserves the memory of one engine if engines leave within the duration of a stream', () => {
-    // Load pattern: one of six engines is reclaimed every 3.3 s, and a stream takes 9 s.
+    // One of six engines is reclaimed every 3.3 s, and a stream takes 9 s.
     const departures = Departures.create();
     departures.recordStreamDuration(9000);
     for (let atMs = 0; atMs < 30_000; atMs += 3300) {
@@ -188,7 +188,7 @@
 
 describe('retry-after schedule', () => {
   it('spreads retries of refused requests over the time in which memory becomes free', () => {
-    // Load pattern: a burst of refusals. Guards against all callers retrying at the same time.
+    // Many requests are refused at once. Guards against all callers retrying at the same time.
     const schedule = RetryAfterSchedule.create();
     for (let atMs = 0; atMs < 5000; atMs += 1000) {
       schedule.recordFreedMemory(4000, atMs);
--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -34,7 +34,7 @@
 /**
  * Decides whether a generation may start now, and on which engine.
  *
- * Load pattern: more long generations than fit into the memory of the engines, with queued prompts.
+ * This is for more long generations than fit into the memory of the engines, with queued prompts.
  * A generation that starts late delays those queued behind it, and one without enough free memory
  * causes preemption, so neither is admitted. An engine without queued prompts is exempt from the
  * time limit: nobody is delayed there, and its first event updates the estimate of its speed.
--- a/packages/serving/src/cold-limit.ts
+++ b/packages/serving/src/cold-limit.ts
@@ -16,7 +16,7 @@
 /**
  * Whether this node may send another request to the upstream.
  *
- * Load pattern: upstreams that restart cold under full traffic. Each node stays within its part of
+ * This is for upstreams that restart cold under full traffic. Each node stays within its part of
  * the limit, so the total holds without coordination between nodes. A node may always send at least
  * one request per second, as there may be more nodes than the limit has requests.
  */
--- a/packages/serving/src/departures.ts
+++ b/packages/serving/src/departures.ts
@@ -1,7 +1,7 @@
 /**
  * Tracks how often engines leave a service, and derives how much memory to keep in reserve.
  *
- * Load pattern: engines are reclaimed at short notice, one after the other, while the remaining
+ * This is for engines that are reclaimed at short notice, one after the other, while the remaining
  * ones are full. The streams of a reclaimed engine are lost unless the others have free memory for
  * them.
  */
--- a/packages/serving/src/placement.test.ts
+++ b/packages/serving/src/placement.test.ts
@@ -133,7 +133,7 @@
   });
 
   it('spreads a burst that several nodes send based on the same outdated load reports', () => {
-    // Load pattern: engines have just started, their reports say idle, and all nodes read them.
+    // Engines have just started, their reports say idle, and all nodes read them.
     const nodes = 7;
     const engines = 5;
     const fleets = Array.from({ length: nodes }, () => createFleet(engines));
@@ -231,7 +231,7 @@
   const limit = { perSecond: 32, excess: 1.5, slack: 5 };
 
   it('keeps the total of all nodes within the limit', () => {
-    // Load pattern: an upstream restarts cold while every node has requests waiting.
+    // An upstream restarts cold while every node has requests waiting.
     const nodes = 8;
     let sent = 0;
     for (let node = 0; node < nodes; node += 1) {
--- a/packages/serving/src/retry-after-schedule.ts
+++ b/packages/serving/src/retry-after-schedule.ts
@@ -1,7 +1,7 @@
 /**
  * Assigns the times after which refused requests may be retried.
  *
- * Load pattern: many requests are refused together. With the same wait for all they would return
+ * This is for many requests that are refused together. With the same wait for all they would return
  * together and be refused again. Each request therefore gets the time at which memory for it is
  * expected to become free, after the requests refused before it.
  */
--- a/packages/serving/src/retry-budget.test.ts
+++ b/packages/serving/src/retry-budget.test.ts
@@ -13,7 +13,7 @@
 
 describe('retry budget', () => {
   it('keeps the total of all nodes within the allowance when no node can reach another', () => {
-    // Load pattern: every node sends all its retries at once, and no node knows about the others'.
+    // Every node sends all its retries at once, and no node knows about the others'.
     for (const nodes of [1, 7, 8, 87]) {
       let retries = 0;
       let firstSends = 0;
--- a/packages/serving/src/rollout.test.ts
+++ b/packages/serving/src/rollout.test.ts
@@ -45,7 +45,7 @@
   });
 
   it('sets the share of a failing version to 0 within its first responses', () => {
-    // Load pattern: 40 requests per second, of which the new version gets 6% and fails half.
+    // There are 40 requests per second, of which the new version gets 6% and fails half.
     const decision = decideRollout(rollout, 'v1', [
       reportAt(5000, answers(500, 0.06, 0.5, 300, 2)),
     ]);
--- a/packages/serving/src/rollout.ts
+++ b/packages/serving/src/rollout.ts
@@ -75,7 +75,7 @@
 /**
  * Decides the share of a new version from the reports of all nodes.
  *
- * Load pattern: a new version that fails or is slow, from the start, later or only on one route, in
+ * This is for a new version that fails or is slow, from the start, later or only on one route, in
  * a rollout that has to end within seconds. All nodes exchange their counts and compute the same
  * decision, so no node depends on another one to grant a share.
  */
--- a/packages/serving/src/topology.test.ts
+++ b/packages/serving/src/topology.test.ts
@@ -25,7 +25,7 @@
   });
 
   it('limits the connections of each node when there are many nodes', () => {
-    // Load pattern: 87 nodes that announced each request to all others spent a tenth of their
+    // Guards against 87 nodes that announced each request to all others spent a tenth of their
     // processor time on that.
     const nodes = createNodes(87, 4);
     for (const [index, { dataCentre }] of nodes.entries()) {
