Let a stream wait for its first event if it could only go on from a copy

A stream that can't be resumed and has a backup was taken away from its engine after half of its caller's patience, also before its first event. No copy exists by then, so the other engine refuses and the request ends with 502, though it would have been served, late. Once it has begun, a silent stream goes on from its copy after 0.8 of the patience, as an engine that is short of memory may be silent for seconds and go on.

--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -61,6 +61,7 @@
     let headSent = false;
     let refusals = 0;
     let continuations = 0;
+    /** Runs that were begun; one that its engine refused does not count. */
     let runs = 0;
     /** Whether an engine may have executed the request. */
     let mayHaveRun = false;
@@ -337,6 +338,7 @@
           : maxSilenceMs({
               goalMs: route.goalMs,
               gapGoalMs: route.gapGoalMs,
+              hasBegun: segment.firstEventAtMs() !== undefined,
               recovery: recovery(),
             }),
       onSilent: () => {
--- a/packages/serving/src/stream-recovery.ts
+++ b/packages/serving/src/stream-recovery.ts
@@ -36,14 +36,21 @@
   readonly goalMs: number;
   /** Latency objective of the gap between events. */
   readonly gapGoalMs: number;
+  /** Whether its present engine has sent an event; a copy of the run exists only then. */
+  readonly hasBegun: boolean;
   readonly recovery: StreamRecovery;
 }
 
 const minCallerPatienceMs = 2000;
 const goalsOfPatience = 4;
 const gapsOfPatience = 8;
-/** Share of the caller's patience after which a stream that can go on elsewhere is moved. */
-const recoveryPatienceShare = 0.5;
+/** Share of the caller's patience after which a silent stream runs again at another engine. */
+const runAgainPatienceShare = 0.5;
+/**
+ * Share of it after which a stream continues from a copy. It is the last chance: an engine that is
+ * short of memory may be silent for seconds and go on, and the copy may be gone.
+ */
+const copyPatienceShare = 0.8;
 
 /** Time without a new event after which callers abandon a stream, in milliseconds. */
 export const callerPatienceMs = (goalMs: number, gapGoalMs: number): number =>
@@ -54,7 +61,14 @@
  * that stall, or send bytes that complete no event. A stream that can't go on elsewhere keeps its
  * engine until its deadline, as a slow one may still complete.
  */
-export const maxSilenceMs = (stream: SilentStream): number =>
-  stream.recovery === 'end'
-    ? Infinity
-    : callerPatienceMs(stream.goalMs, stream.gapGoalMs) * recoveryPatienceShare;
+export const maxSilenceMs = (stream: SilentStream): number => {
+  const patienceMs = callerPatienceMs(stream.goalMs, stream.gapGoalMs);
+  switch (stream.recovery) {
+    case 'run-again':
+      return patienceMs * runAgainPatienceShare;
+    case 'continue-from-copy':
+      return stream.hasBegun ? patienceMs * copyPatienceShare : Infinity;
+    case 'end':
+      return Infinity;
+  }
+};
