Log the shared parts of a stream's prompt

In each crash one stream had just begun; which part of the prompt these streams shared could not be seen, as no line named the parts.

--- a/packages/gateway/src/caller-request.ts
+++ b/packages/gateway/src/caller-request.ts
@@ -30,6 +30,8 @@
   /** Timeout of the caller, counted from the arrival of the request. */
   readonly waitsMs?: number;
   readonly prompt?: PromptSize;
+  /** Ids of the parts of the prompt that it shares with other requests. */
+  readonly promptParts: readonly string[];
   /** Id of the last event that the caller has of a stream that it resumes; not validated. */
   readonly lastEventId?: string;
 }
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -74,6 +74,7 @@
         outcome,
         detail,
         events: progress.events(),
+        promptParts: request.promptParts.join(),
         loadAgeMs: member === undefined ? undefined : Math.round(nowMs - member.engineLoadAtMs),
         usedTokens: member?.engineLoad?.usedTokens,
         afterMs: Math.round(nowMs - call.arrivedAtMs),
