Keep prompts away from engines that crash on a part of them

Cause: nodes did not look at what the prompts of lost streams have in common. Each new request with the part went to the next engine, and a stream whose engine crashed went on from its copy at another engine, which crashed as well. Class: a request that fails deterministically is retried and routed like any other (a query of death).

The test with two nodes and an engine that crashes on a part counted 40 crashes by 20 requests; at most 8 are allowed.

Ruled out: load (4,600 to 17,000 of 34,294 tokens were in use) and repeats by the node alone (the lost checks are too short to have copies).

Change: nodes share starts that were lost with their engine and parts that engines have written on. After three engines, a part without such proof is refused as not run; after two, streams with it are not repeated. The entry in the store outlives a restart of all nodes. The first part of a route's prompts is not blamed for losses that a more specific one explains.

--- a/packages/errors/src/error-responses.ts
+++ b/packages/errors/src/error-responses.ts
@@ -77,6 +77,7 @@
   'store-unavailable': notRun(503, grpc.unavailable, true, 'The store does not answer'),
   'upstream-unreachable': notRun(503, grpc.unavailable, true, 'The upstream was not reached'),
   'upstream-refused': notRun(503, grpc.unavailable, true, 'The upstream refused before any work'),
+  'prompt-quarantined': notRun(503, grpc.unavailable, true, 'Engines were lost on such prompts'),
   'upstream-failed': mayHaveRun(502, grpc.unknown, 'The upstream failed'),
   'upstream-timeout': mayHaveRun(504, grpc.deadlineExceeded, 'The upstream did not answer in time'),
   'outcome-unknown': mayHaveRun(502, grpc.unknown, 'Whether the request ran is not known'),
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -6,6 +6,7 @@
 import type { Log } from './log.js';
 import type { MemoryLimits } from './memory-limits.js';
 import type { Metrics } from './metrics.js';
+import type { PromptGuard } from './prompt-guard.js';
 import type { Rollouts } from './rollouts.js';
 import type { ServiceRecord } from './service-records.js';
 import type { UpstreamClient } from './upstream-client.js';
@@ -29,6 +30,8 @@
   readonly isWithinColdLimit: (member: FleetMember) => boolean;
   /** Shifts of services' traffic to other versions. */
   readonly rollouts: Rollouts;
+  /** Prompts that crash engines. */
+  readonly prompts: PromptGuard;
   /** Requests and memory that other nodes use at an upstream. */
   readonly peerUse: (upstream: string) => UpstreamUse;
   /** Placements of a service by other nodes that this node does not know of yet. */
--- a/packages/gateway/src/cluster-state.ts
+++ b/packages/gateway/src/cluster-state.ts
@@ -45,6 +45,11 @@
       readonly service: string;
       readonly status: RolloutStatus | undefined;
     }
+  | {
+      readonly kind: 'prompt-quarantine';
+      readonly part: string;
+      readonly isQuarantined: boolean;
+    }
   | { readonly kind: 'link-secret'; readonly secret: string }
   | { readonly kind: 'unreadable'; readonly reason: string }
   | { readonly kind: 'other' };
@@ -190,6 +195,8 @@
         case 'link-secret':
           linkSecret = change.secret;
           break;
+        case 'prompt-quarantine':
+          break;
         case 'unreadable':
           log.event('store entry unreadable', { reason: change.reason, revision });
           return;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
 import type { MetadataStore } from './metadata-store.js';
 import { createMetricsServer, Metrics } from './metrics.js';
 import { NodePeers } from './node-peers.js';
+import { PromptGuard } from './prompt-guard.js';
 import { OpenStream } from './open-stream.js';
 import { Registration } from './registration.js';
 import { Rollouts } from './rollouts.js';
@@ -47,6 +48,8 @@
   readonly delaysRemovalAfterOutage: (key: string) => boolean;
   readonly nodeKey: (node: string) => string;
   readonly encodeNode: (entry: NodeEntry) => Buffer;
+  /** Store key for a part of prompts that is kept away from engines. */
+  readonly promptQuarantineKey: (part: string) => string;
   readonly rolloutStatusKey: (service: string) => string;
   readonly encodeRolloutStatus: (status: RolloutStatus) => Buffer;
   /** Encodes the addresses of nodes, and how long callers may cache them. */
@@ -125,6 +128,36 @@
       onReport: (node, service, report) => {
         rollouts.receiveReport(node, service, report);
       },
+      onFinding: (finding) => {
+        prompts.receive(finding);
+      },
+      findings: () => prompts.findings(),
+    });
+
+    /** The lease removes the entry in time, also if no node of today is left by then. */
+    const storeQuarantine = async (part: string, lifeMs: number): Promise<boolean> => {
+      const lease = await store.grantLease(lifeMs);
+      if (lease.isLeft()) {
+        return false;
+      }
+      const key = platform.promptQuarantineKey(part);
+      const { outcome } = await store.commit({
+        expected: new Map([[key, 0]]),
+        writes: [{ key, value: Buffer.from(part), lease: lease.unsafeCoerce() }],
+        removals: [],
+      });
+      return outcome === 'done';
+    };
+
+    const prompts: PromptGuard = PromptGuard.create(clock, log, {
+      share: peers.shareFinding,
+      writesPart: peers.actsOn,
+      store: storeQuarantine,
+      unstore: async (part) => {
+        const removals = [platform.promptQuarantineKey(part)];
+        const { outcome } = await store.commit({ expected: new Map(), writes: [], removals });
+        return outcome === 'done';
+      },
     });
 
     const mirror: StoreMirror = StoreMirror.create(store, clock, log, {
@@ -183,6 +216,7 @@
       nodeCount: () => Math.max(1, cluster.nodes.size),
       isWithinColdLimit: isWithinColdStartLimit,
       rollouts,
+      prompts,
       peerUse: peers.peerUse,
       unknownPlacements: (service) =>
         serviceRecords
@@ -241,6 +275,9 @@
         case 'upstream':
           engineDrainer.scheduleCheck();
           return;
+        case 'prompt-quarantine':
+          prompts.applyStored(change.part, change.isQuarantined);
+          return;
         case 'link-secret':
           peers.open(change.secret);
       }
@@ -297,6 +334,7 @@
       writeLinkSecret();
       limitConnections();
       cluster.fleet.sweep();
+      prompts.sweep();
       const addresses = new Set<string>();
       for (const member of cluster.fleet.members.values()) {
         addresses.add(member.upstream.address);
--- a/packages/gateway/src/node-message.test.ts
+++ b/packages/gateway/src/node-message.test.ts
@@ -23,6 +23,10 @@
     },
   ],
   reports: [],
+  findings: [
+    { node: 'n1', parts: ['a1', 'b2'], ageMs: 5, lostEngine: 'e' },
+    { node: 'n2', parts: ['a1'], ageMs: 0 },
+  ],
   alive: ['n1', 'n2'],
   revision: 9,
 };
@@ -37,7 +41,7 @@
   it('is ignored if any part of it is malformed', () => {
     // Guards against a message that ends the process of the node that reads it.
     const wire = encodeNodeMessage(state) as Record<string, unknown>;
-    const field = constantFrom('nodes', 'loads', 'reports', 'alive', 'revision');
+    const field = constantFrom('nodes', 'loads', 'reports', 'findings', 'alive', 'revision');
     assert(
       property(field, anything(), (name, value) => {
         decodeNodeMessage({ ...wire, [name]: value });
--- a/packages/gateway/src/node-message.ts
+++ b/packages/gateway/src/node-message.ts
@@ -1,5 +1,6 @@
 import type { EngineLoad, RolloutReport, UpstreamUse } from '@zinniagrade/serving';
 import { z } from 'zod';
+import type { PromptFinding } from './prompt-guard.js';
 
 /**
  * A change of one store key, sent from node to node; an undefined value means that the key was
@@ -43,6 +44,11 @@
   readonly report: RolloutReport;
 }
 
+/** What a node has seen of parts of a prompt. */
+export interface SharedFinding extends PromptFinding {
+  readonly node: string;
+}
+
 /** A message between nodes. */
 export type NodeMessage =
   | {
@@ -50,6 +56,7 @@
       readonly nodes: readonly NodeState[];
       readonly loads: readonly SharedLoad[];
       readonly reports: readonly SharedReport[];
+      readonly findings: readonly SharedFinding[];
       /** Set by relays: all nodes that the sender receives messages from. */
       readonly alive?: readonly string[];
       /** Store revision up to which the sender knows all changes. */
@@ -185,11 +192,23 @@
   return report.data;
 };
 
+const toFinding = (value: unknown): SharedFinding => {
+  const [node, parts, ageMs, lostEngine] = toRow(value);
+  return {
+    node: toText(node),
+    parts: toRow(parts).map(toText),
+    ageMs: toNumber(ageMs),
+    ...(lostEngine === null || lostEngine === undefined ? {} : { lostEngine: toText(lostEngine) }),
+  };
+};
+
 const toStateMessage = (fields: Readonly<Record<string, unknown>>): NodeMessage => ({
   kind: 'state',
   nodes: toRow(fields.nodes).map(toState),
   loads: toRow(fields.loads).map(toSharedLoad),
   reports: toRow(fields.reports).map(toReport),
+  // Nodes of an earlier version send none.
+  findings: toRow(fields.findings ?? []).map(toFinding),
   ...(fields.alive === undefined ? {} : { alive: toRow(fields.alive).map(toText) }),
   revision: toNumber(fields.revision),
 });
@@ -242,6 +261,12 @@
           load.leaving,
           load.leavesInMs ?? null,
         ]),
+        findings: message.findings.map(({ node, parts, ageMs, lostEngine }) => [
+          node,
+          parts,
+          ageMs,
+          lostEngine ?? null,
+        ]),
       }
     : message;
 
--- a/packages/gateway/src/node-peers.ts
+++ b/packages/gateway/src/node-peers.ts
@@ -13,6 +13,7 @@
 import type { Log } from './log.js';
 import { PeerBroadcast } from './peer-broadcast.js';
 import { NodeLinks } from './node-links.js';
+import type { PromptFinding } from './prompt-guard.js';
 import type { NodeMessage, RelayedChange } from './node-message.js';
 import type { StoreMirror } from './store-mirror.js';
 import type { NodeEntry, ClusterState } from './cluster-state.js';
@@ -25,6 +26,9 @@
   /** Called with a load that another node has read, and the time of reading. */
   readonly onLoad: (upstream: string, load: EngineLoad, readAtMs: number) => void;
   readonly onReport: (node: string, service: string, report: RolloutReport) => void;
+  readonly onFinding: (finding: PromptFinding) => void;
+  /** Findings on prompts for a node that has none yet. */
+  readonly findings: () => readonly PromptFinding[];
 }
 
 /**
@@ -40,6 +44,7 @@
   readonly announcementDelayMs: () => number;
   readonly shareLoad: (upstream: string, load: EngineLoad) => void;
   readonly shareReport: (service: string, report: RolloutReport) => void;
+  readonly shareFinding: (finding: PromptFinding) => void;
   /**
    * Delay before this node acts on an event that all nodes learn of at once, so that nodes act in
    * turn.
@@ -47,6 +52,8 @@
   readonly turnDelayMs: () => number;
   /** Whether this node is responsible for reading the load of an upstream. */
   readonly readsLoadOf: (upstream: string, dataCentre: string) => boolean;
+  /** Whether this node acts for all others on something with this name. */
+  readonly actsOn: (name: string) => boolean;
   /** Whether this node watches the store itself; otherwise it gets changes from nodes that do. */
   readonly watchesStore: () => boolean;
   /** Requests store changes from the connected nodes. */
@@ -169,6 +176,8 @@
       },
       onLoad: options.onLoad,
       onReport: options.onReport,
+      onFinding: options.onFinding,
+      findings: options.findings,
       onNodeLost: peerUse.forget,
     });
 
@@ -323,6 +332,10 @@
         broadcast.shareReport(service, report);
         scheduleFlush();
       },
+      shareFinding: (finding) => {
+        broadcast.shareFinding(finding);
+        scheduleFlush();
+      },
       turnDelayMs: () => {
         let precedingNodes = 0;
         for (const node of broadcast.aliveNodes()) {
@@ -340,6 +353,8 @@
           readers.includes(self.node) && chooseByRendezvous(upstream, readers)[0] === self.node
         );
       },
+      actsOn: (name) =>
+        chooseByRendezvous(name, [self.node, ...broadcast.aliveNodes()])[0] === self.node,
       watchesStore: shouldWatchStore,
       requestChanges: () => {
         links?.send(linkedNodes(), { kind: 'pull', after: options.mirror().revision() });
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -166,6 +166,11 @@
     /** Lets a stream go on after its engine was lost, or ends it. */
     const recover = (reason: string): void => {
       mayHaveRun = true;
+      if (!context.prompts.allowsRepeat(request)) {
+        logStep('not repeated', segment?.member, 'engines were lost on parts of the prompt');
+        call.fail(Failure.create('generation-lost', reason));
+        return;
+      }
       const copy = usableStandby();
       const decision = recovery();
       if (decision === 'continue-from-copy' && copy !== undefined) {
@@ -235,6 +240,9 @@
         endedSegment.member,
         failure.reason,
       );
+      if (failure.possiblySent && !endedSegment.hasWritten()) {
+        context.prompts.onLostStart(request, endedSegment.member.upstream.id);
+      }
       if (failure.possiblySent || endedSegment.isContinuation) {
         recover(failure.reason);
         return;
@@ -273,6 +281,9 @@
           onEvent: (event) => {
             forwardEvent(event);
           },
+          onWritten: () => {
+            context.prompts.onSound(request);
+          },
           onComplete: (rest) => {
             complete(newSegment, rest);
           },
--- a/packages/gateway/src/peer-broadcast.test.ts
+++ b/packages/gateway/src/peer-broadcast.test.ts
@@ -90,6 +90,8 @@
         },
         onLoad: () => undefined,
         onReport: () => undefined,
+        onFinding: () => undefined,
+        findings: () => [],
         onNodeLost: (gone) => {
           memoryTokensByPair.delete(`${node} ${gone}`);
         },
--- a/packages/gateway/src/peer-broadcast.ts
+++ b/packages/gateway/src/peer-broadcast.ts
@@ -5,10 +5,12 @@
   type UpstreamUse,
 } from '@zinniagrade/serving';
 import { AliveNodes } from './alive-nodes.js';
+import type { PromptFinding } from './prompt-guard.js';
 import { createAudiences, type Audience } from './peer-audiences.js';
 import type {
   NodeMessage,
   NodeState,
+  SharedFinding,
   SharedLoad,
   SharedReport,
   StoreAccess,
@@ -34,6 +36,9 @@
   /** Called with a load that another node has read, and the time of reading. */
   readonly onLoad: (upstream: string, load: EngineLoad, readAtMs: number) => void;
   readonly onReport: (node: string, service: string, report: RolloutReport) => void;
+  readonly onFinding: (finding: PromptFinding) => void;
+  /** Findings on prompts for a node that has none yet. */
+  readonly findings: () => readonly PromptFinding[];
   /** Called for a node from which messages no longer arrive, directly or via a relay. */
   readonly onNodeLost: (node: string) => void;
 }
@@ -47,6 +52,7 @@
   readonly markUsesChanged: () => void;
   readonly shareLoad: (upstream: string, load: EngineLoad) => void;
   readonly shareReport: (service: string, report: RolloutReport) => void;
+  readonly shareFinding: (finding: PromptFinding) => void;
   readonly receive: (from: string, message: Extract<NodeMessage, { kind: 'state' }>) => void;
   readonly onLinkOpen: (node: string) => void;
   readonly onLinkLost: (node: string) => void;
@@ -73,9 +79,10 @@
 interface SharedUpdates {
   readonly loads: readonly SharedLoad[];
   readonly reports: readonly SharedReport[];
+  readonly findings: readonly SharedFinding[];
 }
 
-const noUpdates: SharedUpdates = { loads: [], reports: [] };
+const noUpdates: SharedUpdates = { loads: [], reports: [], findings: [] };
 
 export const PeerBroadcast = {
   create: (options: PeerBroadcastOptions): PeerBroadcast => {
@@ -97,6 +104,7 @@
     const sentAliveLists = new Map<string, string>();
     let loads: SharedLoad[] = [];
     let reports: SharedReport[] = [];
+    let findings: SharedFinding[] = [];
     let sequence = 0;
     let ownStateChanged = true;
     let linksChanged = true;
@@ -155,6 +163,11 @@
       return found;
     };
 
+    const ownFinding = (finding: PromptFinding): SharedFinding => ({
+      ...finding,
+      node: options.node,
+    });
+
     /** Sends the complete state to nodes that were not sent to before. */
     const synchronize = ({ nodes, wants, aliveList }: Audience): void => {
       const added = nodes.filter((node) => !synchronized.has(node));
@@ -162,7 +175,8 @@
         return;
       }
       const list = aliveList();
-      sendState(added, statesOf(states.keys(), wants), noUpdates, list);
+      const updates = { ...noUpdates, findings: options.findings().map(ownFinding) };
+      sendState(added, statesOf(states.keys(), wants), updates, list);
       for (const node of added) {
         synchronized.add(node);
         sentAliveLists.set(node, list?.join() ?? '');
@@ -178,9 +192,10 @@
         const updates = {
           loads: loads.filter(({ node }) => audience.wants(node)),
           reports: reports.filter(({ node }) => audience.wants(node)),
+          findings: findings.filter(({ node }) => audience.wants(node)),
         };
-        const size = changed.length + updates.loads.length + updates.reports.length;
-        if (size > 0 && known.length > 0) {
+        const updateCount = updates.loads.length + updates.reports.length + updates.findings.length;
+        if (changed.length + updateCount > 0 && known.length > 0) {
           sendState(known, changed, updates);
         }
         synchronize(audience);
@@ -198,6 +213,7 @@
       changedNodes.clear();
       loads = [];
       reports = [];
+      findings = [];
     };
 
     /** Tells nodes which others are alive, if that has changed since they were told. */
@@ -249,6 +265,9 @@
       shareReport: (service, report) => {
         reports.push({ node: options.node, service, report });
       },
+      shareFinding: (finding) => {
+        findings.push(ownFinding(finding));
+      },
       receive: (from, message) => {
         for (const state of message.nodes) {
           acceptState(state);
@@ -269,6 +288,12 @@
             reports.push(shared);
           }
         }
+        for (const shared of message.findings) {
+          if (!isOwn(shared.node)) {
+            options.onFinding(shared);
+            findings.push(shared);
+          }
+        }
       },
       onLinkOpen: (node) => {
         alive.onLinkOpen();
@@ -301,7 +326,8 @@
         linksChanged ||
         changedNodes.size > 0 ||
         loads.length > 0 ||
-        reports.length > 0,
+        reports.length > 0 ||
+        findings.length > 0,
       aliveNodes: alive.current,
       states: () => states,
     };
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -74,7 +74,7 @@
     context.rollouts.observe({ member, route: route.name, failed, firstEventMs: latencyMs });
   };
 
-  const endUnserved = (): void => {
+  const endUnserved = (refusal?: Failure): void => {
     if (failedResponse !== undefined) {
       forwardResponse(call.response, failedResponse.head, failedResponse.body);
       call.finish('upstream-error');
@@ -90,11 +90,12 @@
       return;
     }
     call.fail(
-      Failure.create(
-        refusals > 0 ? 'upstream-refused' : 'no-upstream',
-        `no upstream of ${service.name} accepted the request`,
-        refusalRetryAfterMs,
-      ),
+      refusal ??
+        Failure.create(
+          refusals > 0 ? 'upstream-refused' : 'no-upstream',
+          `no upstream of ${service.name} accepted the request`,
+          refusalRetryAfterMs,
+        ),
     );
   };
 
@@ -106,6 +107,10 @@
     if (call.isEnded() || attempts.size > 0) {
       return;
     }
+    if (mayHaveRun && !context.prompts.allowsRepeat(request)) {
+      endUnserved();
+      return;
+    }
     const allowed = mayHaveRun
       ? idempotent && possibleRuns < route.maxAttempts
       : refusals <= maxRefusals && (idempotent || possibleRuns === 0);
@@ -155,6 +160,9 @@
       return;
     }
     logAttempt('answered', member, head.status);
+    if (!failed) {
+      context.prompts.onSound(request);
+    }
     forwardResponse(call.response, head, body);
     call.finish(failed ? 'upstream-error' : 'complete');
   };
@@ -171,11 +179,19 @@
       refusals += 1;
     } else {
       possibleRuns += 1;
+      context.prompts.onLostStart(request, member.upstream.id);
     }
     retryOrEnd(failure.possiblySent);
   };
 
   const send = (): void => {
+    const refusal = context.prompts.refusal(request);
+    if (refusal !== undefined) {
+      if (attempts.size === 0) {
+        endUnserved(refusal);
+      }
+      return;
+    }
     const member = placeCall(
       context.cluster.fleet.ofService(service.name),
       choice(),
--- a/packages/gateway/src/stream-admission.ts
+++ b/packages/gateway/src/stream-admission.ts
@@ -73,6 +73,11 @@
       if (call.isEnded()) {
         return;
       }
+      const refusal = context.prompts.refusal(call.request);
+      if (refusal !== undefined) {
+        onRefused(refusal, refusal.kind);
+        return;
+      }
       const admission = decideAdmission(excluded);
       switch (admission.kind) {
         case 'placed':
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -28,6 +28,8 @@
   /** The engine has started a stream for the request. */
   readonly onAccepted: (head: ResponseHead) => void;
   readonly onEvent: (event: StreamEvent) => void;
+  /** The engine has written for a while, or to the end: the prompt does it no harm. */
+  readonly onWritten: () => void;
   /** The stream is complete; called with the bytes after its last event. */
   readonly onComplete: (rest: Buffer) => void;
   /** A complete response other than a stream. */
@@ -45,11 +47,16 @@
   readonly firstEventAtMs: () => number | undefined;
   /** Mean time between events and, unless this is a continuation, time to the first event. */
   readonly timing: () => { readonly firstEventMs?: number; readonly betweenEventsMs?: number };
+  /** Whether `onWritten` was called. */
+  readonly hasWritten: () => boolean;
   readonly isClosed: () => boolean;
   /** Closes the connection, which stops the run. No handler is called afterwards. */
   readonly close: () => void;
 }
 
+/** An engine that crashes on a prompt does so within a few events. */
+const writtenAfterMs = 1000;
+
 const isStreamResponse = (head: ResponseHead): boolean =>
   head.status === 200 && head.matchesRequest && !head.notExecuted;
 
@@ -74,6 +81,7 @@
     let events = 0;
     let head: ResponseHead | undefined;
     let closed = false;
+    let written = false;
 
     const run: OwnRun = {
       requestId: runKey,
@@ -110,6 +118,13 @@
       context.onUseChanged();
     };
 
+    const markWritten = (): void => {
+      if (!written && firstEventAtMs !== undefined) {
+        written = true;
+        handlers.onWritten();
+      }
+    };
+
     /** Closes the connection of a response that breaks a limit. */
     const fail = (reason: string): void => {
       if (release()) {
@@ -152,6 +167,9 @@
             }
             events += 1;
             lastEventAtMs = clock.monotonicMs();
+            if (lastEventAtMs - (firstEventAtMs ?? lastEventAtMs) >= writtenAfterMs) {
+              markWritten();
+            }
             handlers.onEvent(event);
           }
           if (splitter.remainder().length > context.limits.maxEventBytes) {
@@ -163,6 +181,7 @@
             return;
           }
           if (isStreamResponse(head)) {
+            markWritten();
             handlers.onComplete(splitter.remainder());
           } else {
             handlers.onOtherResponse(head, otherResponse.toBuffer());
@@ -190,6 +209,7 @@
           ? {}
           : { betweenEventsMs: (lastEventAtMs - firstEventAtMs) / (events - 1) }),
       }),
+      hasWritten: () => written,
       isClosed: () => closed,
       close: () => {
         if (release()) {
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -7,6 +7,7 @@
 export * from './peer-use.js';
 export * from './placement.js';
 export * from './placement-rate.js';
+export * from './prompt-quarantine.js';
 export * from './retry-budget.js';
 export * from './retry-after-schedule.js';
 export * from './rollout.js';
--- a/packages/types/src/error-kind.ts
+++ b/packages/types/src/error-kind.ts
@@ -17,6 +17,7 @@
   | 'store-unavailable'
   | 'upstream-unreachable'
   | 'upstream-refused'
+  | 'prompt-quarantined'
   | 'upstream-failed'
   | 'upstream-timeout'
   | 'outcome-unknown'
