Move the relaying of store changes out of NodePeers

node-peers.ts did two jobs: it opened links and announced this node's state, and it also split, pushed, pulled and forwarded store changes.

--- a/packages/gateway/src/node-peers.ts
+++ b/packages/gateway/src/node-peers.ts
@@ -10,6 +10,7 @@
   type RolloutReport,
   type UpstreamUse,
 } from '@zinniagrade/serving';
+import { ChangeRelay } from './change-relay.js';
 import type { Log } from './log.js';
 import { PeerBroadcast } from './peer-broadcast.js';
 import { NodeLinks } from './node-links.js';
@@ -58,11 +59,6 @@
   readonly close: () => void;
 }
 
-/**
- * If a peer's store revision stays ahead for this long, this node's watch is behind and it requests
- * changes.
- */
-const pullDelayMs = 250;
 /**
  * Number of turns; with more nodes than turns, few nodes of one turn have streams at the same
  * engine.
@@ -70,8 +66,6 @@
 const turnCount = 8;
 /** Time within which a node's announcement reaches the others. */
 const turnLengthMs = 9;
-/** Frames have a maximum size, so changes are sent in parts of about this size. */
-const maxPartBytes = 128 * 1024;
 /** Changes within this time are sent together. */
 const batchDelayMs = 4;
 /**
@@ -86,24 +80,6 @@
 /** Heartbeats also show the other nodes that this one is alive. */
 const heartbeatIntervalMs = 500;
 
-const splitIntoParts = (items: readonly RelayedChange[]): readonly (readonly RelayedChange[])[] => {
-  const parts: RelayedChange[][] = [];
-  let part: RelayedChange[] = [];
-  let bytes = 0;
-  for (const item of items) {
-    const size = item.key.length + (item.value?.length ?? 0);
-    if (bytes + size > maxPartBytes && part.length > 0) {
-      parts.push(part);
-      part = [];
-      bytes = 0;
-    }
-    part.push(item);
-    bytes += size;
-  }
-  parts.push(part);
-  return parts;
-};
-
 const toPlace = ({ node, dataCentre, capacity }: NodeEntry): TopologyNode => ({
   node,
   dataCentre,
@@ -152,6 +128,9 @@
     };
 
     const linkedNodes = (): readonly string[] => links?.connected() ?? [];
+    const send = (nodes: readonly string[], message: NodeMessage): void => {
+      links?.send(nodes, message);
+    };
 
     const broadcast = PeerBroadcast.create({
       node: self.node,
@@ -160,7 +139,7 @@
       nowMs: clock.monotonicMs,
       topology,
       linkedNodes,
-      send: (nodes, message) => links?.send(nodes, message),
+      send,
       ownUses,
       storeAccess: () => options.mirror().storeAccess(),
       revision: () => options.mirror().revision(),
@@ -173,6 +152,12 @@
     });
 
     const isRelay = (): boolean => !topology().isMesh && topology().relays.includes(self.node);
+    const changeRelay = ChangeRelay.create(clock, {
+      mirror: options.mirror,
+      linkedNodes,
+      send,
+      isRelay,
+    });
 
     const relayBatchDelayMs = (): number =>
       Math.min(
@@ -192,66 +177,20 @@
     };
     const stopHeartbeat = clock.every(heartbeatIntervalMs, broadcast.heartbeat);
 
-    const sendChanges = (
-      nodes: readonly string[],
-      items: readonly RelayedChange[],
-      revision: number,
-    ): void => {
-      const parts = splitIntoParts(items);
-      for (const [index, part] of parts.entries()) {
-        // Only the last part carries the revision, as it states that all changes up to there were
-        // sent.
-        const upTo = index === parts.length - 1 ? revision : 0;
-        links?.send(nodes, { kind: 'changes', items: part, revision: upTo });
-      }
-    };
-
-    const answerPull = (node: string, after: number): void => {
-      const mirror = options.mirror();
-      const revision = mirror.revision();
-      if (revision > after) {
-        sendChanges([node], mirror.changesAfter(after), revision);
-      }
-    };
-
-    const pullIfBehind = (node: string, revision: number): void => {
-      if (options.mirror().revision() >= revision) {
-        return;
-      }
-      clock.after(pullDelayMs, () => {
-        const known = options.mirror().revision();
-        if (known < revision) {
-          links?.send([node], { kind: 'pull', after: known });
-        }
-      });
-    };
-
-    const applyChanges = (
-      from: string,
-      items: readonly RelayedChange[],
-      revision: number,
-    ): void => {
-      const applied = options.mirror().mergeFromNode(items, revision);
-      if (applied.length > 0 && isRelay()) {
-        const others = linkedNodes().filter((node) => node !== from);
-        sendChanges(others, applied, revision);
-      }
-    };
-
     const onMessage = (node: string, message: NodeMessage): void => {
       switch (message.kind) {
         case 'state':
           broadcast.receive(node, message);
-          pullIfBehind(node, message.revision);
+          changeRelay.pullIfBehind(node, message.revision);
           if (isRelay()) {
             scheduleFlush();
           }
           return;
         case 'pull':
-          answerPull(node, message.after);
+          changeRelay.answerPull(node, message.after);
           return;
         case 'changes':
-          applyChanges(node, message.items, message.revision);
+          changeRelay.receiveChanges(node, message.items, message.revision);
       }
     };
 
@@ -341,14 +280,8 @@
         );
       },
       watchesStore: shouldWatchStore,
-      requestChanges: () => {
-        links?.send(linkedNodes(), { kind: 'pull', after: options.mirror().revision() });
-      },
-      pushChanges: (items, revision) => {
-        if (items.length > 0) {
-          sendChanges(linkedNodes(), items, revision);
-        }
-      },
+      requestChanges: changeRelay.requestChanges,
+      pushChanges: changeRelay.pushChanges,
       aliveNodes: broadcast.aliveNodes,
       close: () => {
         closed = true;
