Move self-contained parts out of Gateway.create

Moved into modules of their own, with their constants: - platform.ts: the Platform interface - shutdown.ts: the grace period, the time that is left and the wait for open requests - upstream-connections.ts: connection limits and closing of idle connections - link-secret.ts: creation of the secret with which nodes authenticate - http-servers.ts: listening at an address, and the server for readiness checks

Behaviour is unchanged. The limit of connections that wait to be accepted, 1024 as before, has a name now.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,18 +1,19 @@
 import { randomBytes } from 'node:crypto';
-import { createServer, type Server } from 'node:http';
+import type { Server } from 'node:http';
 import { Random, type Clock } from '@zinniagrade/clock';
 import { isBelowColdLimit, type FleetMember, type Route } from '@zinniagrade/serving';
 import type { ServingContext } from './call.js';
-import type { ReadCallerRequest } from './caller-request.js';
 import { chooseAddresses, createDirectoryServer } from './directory.js';
 import { CallerServer } from './caller-server.js';
+import { createReadyServer, listen } from './http-servers.js';
+import { createLinkSecret, maxSecretDelayMs } from './link-secret.js';
 import { LoadPolling } from './load-polling.js';
 import type { Log } from './log.js';
 import { MemoryLimits } from './memory-limits.js';
-import type { MetadataStore } from './metadata-store.js';
 import { createMetricsServer, Metrics } from './metrics.js';
 import { NodePeers } from './node-peers.js';
 import { OpenStream } from './open-stream.js';
+import type { Platform } from './platform.js';
 import { Registration } from './registration.js';
 import { Rollouts } from './rollouts.js';
 import { serveCall } from './serve-call.js';
@@ -20,38 +21,9 @@
 import type { GatewaySettings } from './settings.js';
 import { StoreMirror } from './store-mirror.js';
 import { EngineDrainer } from './engine-drainer.js';
-import type { UpstreamClient } from './upstream-client.js';
-import {
-  ClusterState,
-  type ClusterChange,
-  type NodeEntry,
-  type RolloutStatus,
-} from './cluster-state.js';
-
-/** Settings, clients and encodings that a platform provides to the gateway. */
-export interface Platform {
-  readonly settings: GatewaySettings;
-  readonly store: MetadataStore;
-  readonly upstreams: UpstreamClient;
-  readonly readCallerRequest: ReadCallerRequest;
-  /** Decodes the value of a store key; an undefined value means that the key was removed. */
-  readonly decodeChange: (key: string, value: Buffer | undefined) => ClusterChange;
-  /** Prefix of all store keys that a node mirrors. */
-  readonly prefix: string;
-  /** Store key of the secret with which nodes authenticate each other. */
-  readonly linkSecretKey: string;
-  /**
-   * Whether the entry of this key is registered again after a store outage, so its removal is
-   * delayed.
-   */
-  readonly delaysRemovalAfterOutage: (key: string) => boolean;
-  readonly nodeKey: (node: string) => string;
-  readonly encodeNode: (entry: NodeEntry) => Buffer;
-  readonly rolloutStatusKey: (service: string) => string;
-  readonly encodeRolloutStatus: (status: RolloutStatus) => Buffer;
-  /** Encodes the addresses of nodes, and how long callers may cache them. */
-  readonly encodeDirectory: (addresses: readonly string[], lifeMs: number) => Buffer;
-}
+import { Shutdown } from './shutdown.js';
+import { closeUnusedConnections, limitConnections } from './upstream-connections.js';
+import { ClusterState, type NodeEntry } from './cluster-state.js';
 
 /** A running gateway process. */
 export interface Gateway {
@@ -64,36 +36,11 @@
   readonly shutDown: () => Promise<void>;
 }
 
-const addressPattern = /^(.*):(\d+)$/;
-
-const listen = (server: Server, address: string): Promise<void> =>
-  new Promise((resolve, reject) => {
-    const [, host, port] = addressPattern.exec(address) ?? [];
-    server.once('error', reject);
-    server.listen({ host, port: Number(port), backlog: 1024 }, () => {
-      server.off('error', reject);
-      resolve();
-    });
-  });
-
-const idleCheckIntervalMs = 50;
-/** A node completes its shutdown this long before it is killed. */
-const shutdownMarginMs = 400;
 /** Expected duration of a plain request; a node that ends earlier than this refuses it. */
 const plainRequestDurationMs = 1000;
 const sweepIntervalMs = 1000;
 /** Time that links to all nodes need to open after the mirror is complete. */
 const linksSettleMs = 2500;
-/** Share of the connections that upstreams accept; nodes that just died may still hold the rest. */
-const connectionLimitShare = 0.8;
-/** Enough for a few streams with a copy each, and a load report. */
-const minConnectionLimit = 8;
-/**
- * Nodes may start together: a random delay up to this lets one write the secret and the others read
- * it.
- */
-const maxSecretDelayMs = 300;
-const linkSecretBytes = 16;
 
 export const Gateway = {
   create: async (platform: Platform, clock: Clock, log: Log): Promise<Gateway> => {
@@ -103,14 +50,9 @@
     const cluster = ClusterState.create(log);
     const random = Random.create(randomBytes(4).readInt32LE());
     const serviceRecords = ServiceRecords.create(settings.retries);
-    let leavingSinceMs: number | undefined;
+    const shutdown = Shutdown.create(clock, () => settings.graceMs);
     let mirrorCompleteAtMs: number | undefined;
 
-    const remainingDrainMs = (): number | undefined =>
-      leavingSinceMs === undefined
-        ? undefined
-        : Math.max(0, leavingSinceMs + settings.graceMs - shutdownMarginMs - clock.monotonicMs());
-
     const peers: NodePeers = NodePeers.create(clock, log, cluster, {
       self: {
         node: settings.node,
@@ -194,7 +136,7 @@
           ),
       onUseChanged: peers.onUseChanged,
       turnDelayMs: peers.turnDelayMs,
-      remainingDrainMs,
+      remainingDrainMs: shutdown.remainingMs,
     };
 
     const engineDrainer: EngineDrainer = EngineDrainer.create(context);
@@ -252,7 +194,7 @@
       callerAddress: settings.listen.caller,
       nodeAddress: settings.listen.nodes,
       capacity: settings.capacity,
-      leaving: leavingSinceMs !== undefined,
+      leaving: shutdown.hasBegun(),
     });
     const registration = Registration.create(
       store,
@@ -264,51 +206,23 @@
     );
 
     const isReady = (): boolean =>
-      leavingSinceMs === undefined && cluster.configuration() !== undefined && mirror.isComplete();
-
-    /**
-     * The commit requires that the key doesn't exist, so only the first node's secret is stored.
-     */
-    const writeLinkSecret = (): void => {
-      if (mirror.isComplete() && cluster.linkSecret() === undefined) {
-        void store.commit({
-          expected: new Map([[platform.linkSecretKey, 0]]),
-          writes: [{ key: platform.linkSecretKey, value: randomBytes(linkSecretBytes) }],
-          removals: [],
-        });
-      }
-    };
-
-    /**
-     * Splits the connection limit of each upstream among the nodes: upstreams count all nodes'
-     * connections.
-     */
-    const limitConnections = (): void => {
-      for (const { name, maxConnections } of cluster.configuration()?.services.values() ?? []) {
-        const limit = (connectionLimitShare * maxConnections) / context.nodeCount();
-        platform.upstreams.limitConnections(name, Math.max(minConnectionLimit, Math.floor(limit)));
-      }
-    };
+      !shutdown.hasBegun() && cluster.configuration() !== undefined && mirror.isComplete();
 
     const sweep = (): void => {
       if (mirror.isComplete()) {
         mirrorCompleteAtMs ??= clock.monotonicMs();
+        if (cluster.linkSecret() === undefined) {
+          createLinkSecret(store, platform.linkSecretKey);
+        }
       }
-      writeLinkSecret();
-      limitConnections();
+      limitConnections(context);
       cluster.fleet.sweep();
-      const addresses = new Set<string>();
-      for (const member of cluster.fleet.members.values()) {
-        addresses.add(member.upstream.address);
-      }
-      platform.upstreams.closeIdleExcept(addresses);
+      closeUnusedConnections(context);
     };
     clock.after(maxSecretDelayMs * random(), sweep);
     const stopTicks = clock.every(sweepIntervalMs, sweep);
 
-    const readyServer = createServer((_request, response) => {
-      response.writeHead(isReady() ? 200 : 503, { 'content-length': 0 }).end();
-    });
+    const readyServer = createReadyServer(isReady);
     const addresses = (): readonly string[] =>
       chooseAddresses({
         node: settings.node,
@@ -335,16 +249,6 @@
     }
     log.event('started', { ...settings.listen, dataCentre: settings.dataCentre });
 
-    const whenIdle = (): Promise<void> =>
-      new Promise((resolve) => {
-        const cancel = clock.every(idleCheckIntervalMs, () => {
-          if (callerServer.activeRequests() === 0 || remainingDrainMs() === 0) {
-            cancel();
-            resolve();
-          }
-        });
-      });
-
     return {
       reload: (next) => {
         settings = next;
@@ -352,7 +256,7 @@
         log.event('reloaded', { graceMs: next.graceMs, retryRatio: next.retries.ratio });
       },
       shutDown: async () => {
-        leavingSinceMs ??= clock.monotonicMs();
+        shutdown.begin();
         log.event('leaving', { open: callerServer.activeRequests(), graceMs: settings.graceMs });
         registration.update(platform.encodeNode(ownEntry()));
         await new Promise<void>((resolve) => {
@@ -360,7 +264,7 @@
         });
         // No connection is accepted from here on; requests on open ones are still served.
         callerServer.server.close();
-        await Promise.all([whenIdle(), registration.end()]);
+        await Promise.all([shutdown.whenIdle(callerServer.activeRequests), registration.end()]);
         log.event('stopped', { open: callerServer.activeRequests() });
         stopTicks();
         loadPolling.stop();
--- /dev/null
+++ b/packages/gateway/src/platform.ts
@@ -0,0 +1,30 @@
+import type { ReadCallerRequest } from './caller-request.js';
+import type { ClusterChange, NodeEntry, RolloutStatus } from './cluster-state.js';
+import type { MetadataStore } from './metadata-store.js';
+import type { GatewaySettings } from './settings.js';
+import type { UpstreamClient } from './upstream-client.js';
+
+/** Settings, clients and encodings that a platform provides to the gateway. */
+export interface Platform {
+  readonly settings: GatewaySettings;
+  readonly store: MetadataStore;
+  readonly upstreams: UpstreamClient;
+  readonly readCallerRequest: ReadCallerRequest;
+  /** Decodes the value of a store key; an undefined value means that the key was removed. */
+  readonly decodeChange: (key: string, value: Buffer | undefined) => ClusterChange;
+  /** Prefix of all store keys that a node mirrors. */
+  readonly prefix: string;
+  /** Store key of the secret with which nodes authenticate each other. */
+  readonly linkSecretKey: string;
+  /**
+   * Whether the entry of this key is registered again after a store outage, so its removal is
+   * delayed.
+   */
+  readonly delaysRemovalAfterOutage: (key: string) => boolean;
+  readonly nodeKey: (node: string) => string;
+  readonly encodeNode: (entry: NodeEntry) => Buffer;
+  readonly rolloutStatusKey: (service: string) => string;
+  readonly encodeRolloutStatus: (status: RolloutStatus) => Buffer;
+  /** Encodes the addresses of nodes, and how long callers may cache them. */
+  readonly encodeDirectory: (addresses: readonly string[], lifeMs: number) => Buffer;
+}
