Split run-soak.ts by job

The function sleep, which stood in run-soak.ts and traffic.ts, has a module of its own. The constant apiKeyCount is replaced by the length of apiKeys.

Behaviour is unchanged: the same seed draws from the random sequences in the same order.

--- /dev/null
+++ b/packages/soak/src/inject-fault.ts
@@ -0,0 +1,154 @@
+import { soakBounds } from '@zinniagrade/platform-adapter/standins';
+import { apiKeys, exemptFromTiming, type Environment } from './environment.js';
+import type { Fault } from './fault-plan.js';
+import type { GatewayProcess } from './gateway-process.js';
+import { sleep } from './sleep.js';
+
+const restartDelayMs = 200;
+const shutdownGraceMs = soakBounds.graceS * 1000;
+
+const elementAt = <Value>(values: readonly Value[], index: number): Value => {
+  const value = values[index];
+  if (value === undefined) {
+    throw new Error(`no element at index ${String(index)}`);
+  }
+  return value;
+};
+
+const restartGateway = async (gateway: GatewayProcess, signal: NodeJS.Signals): Promise<void> => {
+  gateway.signal(signal);
+  const killTimer = setTimeout(() => {
+    gateway.signal('SIGKILL');
+  }, shutdownGraceMs);
+  await gateway.exited();
+  clearTimeout(killTimer);
+  await sleep(restartDelayMs);
+  gateway.start();
+};
+
+const drainWorker = async (
+  environment: Environment,
+  fault: Fault & { readonly worker: number },
+): Promise<void> => {
+  const { standin } = elementAt(environment.platform.workers, fault.worker);
+  const { address } = elementAt(environment.workerProxies, fault.worker);
+  const drainPeriod = { worker: standin.id, fromMs: performance.now(), toMs: Infinity };
+  if (
+    environment.observations.drainPeriods.some(
+      ({ worker, toMs }) => worker === standin.id && toMs === Infinity,
+    )
+  ) {
+    return;
+  }
+  environment.observations.drainPeriods.push(drainPeriod);
+  environment.platform.register(standin.id, address, 'draining');
+  await sleep(soakBounds.drainMs + fault.forMs);
+  drainPeriod.toMs = performance.now();
+  environment.platform.register(standin.id, address, 'ready');
+};
+
+/** Revokes the next API key; the first one always stays valid, so that requests can be served. */
+const revokeNextKey = (environment: Environment): void => {
+  if (environment.revokedKeyCount >= apiKeys.length - 1) {
+    return;
+  }
+  environment.revokedKeyCount += 1;
+  environment.configurationVersion += 1;
+  environment.observations.keyRevokedAtMs.set(
+    elementAt(apiKeys, environment.revokedKeyCount),
+    performance.now(),
+  );
+  environment.platform.configure(
+    environment.configurationVersion,
+    apiKeys.filter((key) => !environment.observations.keyRevokedAtMs.has(key)),
+  );
+};
+
+const injectGatewayFault = async (
+  environment: Environment,
+  fault: Extract<Fault, { readonly gateway: number }>,
+): Promise<void> => {
+  const gateway = elementAt(environment.gateways, fault.gateway);
+  exemptFromTiming(environment, fault.forMs + shutdownGraceMs, gateway.node);
+  switch (fault.kind) {
+    case 'kill':
+      await restartGateway(gateway, 'SIGKILL');
+      return;
+    case 'terminate':
+      await restartGateway(gateway, 'SIGTERM');
+      return;
+    case 'pause':
+      gateway.signal('SIGSTOP');
+      await sleep(fault.forMs);
+      gateway.signal('SIGCONT');
+      return;
+    case 'store-link': {
+      const proxy = elementAt(environment.storeProxies, fault.gateway);
+      proxy.setFault(fault.link);
+      await sleep(fault.forMs);
+      proxy.setFault('none');
+    }
+  }
+};
+
+const injectWorkerFault = async (
+  environment: Environment,
+  fault: Extract<Fault, { readonly worker: number }>,
+): Promise<void> => {
+  const { faults } = elementAt(environment.platform.workers, fault.worker);
+  switch (fault.kind) {
+    case 'worker-link': {
+      const proxy = elementAt(environment.workerProxies, fault.worker);
+      // The proxy delivers bytes late that the gateway sent in time.
+      exemptFromTiming(environment, fault.forMs);
+      proxy.setFault(fault.link);
+      await sleep(fault.forMs);
+      proxy.setFault('none');
+      return;
+    }
+    case 'worker-leaves':
+      await drainWorker(environment, fault);
+      return;
+    case 'answers-lost':
+      faults.lostResponseShare = 0.3;
+      await sleep(fault.forMs);
+      faults.lostResponseShare = 0;
+      return;
+    case 'errors':
+      faults.errorResponseShare = 0.5;
+      await sleep(fault.forMs);
+      faults.errorResponseShare = 0;
+  }
+};
+
+/** Injects a fault; resolves when it has ended. */
+export const injectFault = async (environment: Environment, fault: Fault): Promise<void> => {
+  if ('gateway' in fault) {
+    await injectGatewayFault(environment, fault);
+    return;
+  }
+  if ('worker' in fault) {
+    await injectWorkerFault(environment, fault);
+    return;
+  }
+  const { faults } = environment.platform.store;
+  switch (fault.kind) {
+    case 'store-away':
+      exemptFromTiming(environment, fault.forMs);
+      faults.unavailable = true;
+      await sleep(fault.forMs);
+      faults.unavailable = false;
+      return;
+    case 'store-loses-replies':
+      exemptFromTiming(environment, fault.forMs);
+      faults.dropsReplies = true;
+      await sleep(fault.forMs);
+      faults.dropsReplies = false;
+      return;
+    case 'store-forgets':
+      environment.platform.store.compactHistory();
+      return;
+    case 'revoke':
+      revokeNextKey(environment);
+  }
+};
--- /dev/null
+++ b/packages/soak/src/sleep.ts
@@ -0,0 +1,4 @@
+export const sleep = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
--- a/packages/soak/src/traffic.ts
+++ b/packages/soak/src/traffic.ts
@@ -3,6 +3,7 @@
 import { sendCallerRequest, type RequestKind } from '@zinniagrade/platform-adapter/standins';
 import type { GatewayProcess } from './gateway-process.js';
 import type { Observations } from './observations.js';
+import { sleep } from './sleep.js';
 
 /** Concurrent callers that send requests to random gateways until stopped. */
 export interface Traffic {
@@ -23,11 +24,6 @@
 const timeoutsMs: Readonly<Record<RequestKind, number>> = { read: 1500, write: 1500, text: 4000 };
 const requestKindMix: readonly RequestKind[] = ['read', 'read', 'write', 'write', 'text'];
 
-const sleep = (ms: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 export const Traffic = {
   create: ({ gateways, apiKeys, observations, random }: TrafficOptions): Traffic => {
     let stopped = false;
