Take a stream that ends inside an event for broken off

Callers saw a stream with part of its last event that looked complete: the response ended in order, and neither a copy nor another run was used. They now get whole events only; the stream goes on from its copy, is run again if it may be resumed, or its connection breaks off. Logged as "connection lost" with "the stream ended inside an event". Line ends and spaces after the last event are still passed on, with the end of a complete stream.

Cause: the end of the response counted as the end of the stream, and the bytes after the last whole event were passed on with it. The recovery was used only if the connection itself failed.

--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -28,7 +28,7 @@
   /** The engine has started a stream for the request. */
   readonly onAccepted: (head: ResponseHead) => void;
   readonly onEvent: (event: StreamEvent) => void;
-  /** The stream is complete; called with the bytes after its last event. */
+  /** The stream is complete; called with the line ends and spaces after its last event. */
   readonly onComplete: (rest: Buffer) => void;
   /** A complete response other than a stream. */
   readonly onOtherResponse: (head: ResponseHead, body: Buffer) => void;
@@ -162,10 +162,13 @@
           if (!release() || head === undefined) {
             return;
           }
-          if (isStreamResponse(head)) {
-            handlers.onComplete(splitter.remainder());
-          } else {
+          if (!isStreamResponse(head)) {
             handlers.onOtherResponse(head, otherResponse.toBuffer());
+          } else if (splitter.endsInsideEvent()) {
+            // A complete response may still hold a truncated stream: a failing engine can end it in order.
+            handlers.onFailure({ possiblySent: true, reason: 'the stream ended inside an event' });
+          } else {
+            handlers.onComplete(splitter.remainder());
           }
         },
         onFailure: (failure) => {
--- a/packages/serving/src/event-splitter.test.ts
+++ b/packages/serving/src/event-splitter.test.ts
@@ -34,4 +34,18 @@
     splitter.push(Buffer.from('data: a\n\ndata: b'));
     expect(splitter.remainder().toString()).to.equal('data: b');
   });
+
+  it('takes line ends and spaces between events for no part of one', () => {
+    // Guards against a complete stream that is taken for broken, and the reverse.
+    for (const [rest, isPartOfEvent] of [
+      ['', false],
+      ['\r\n \t\n', false],
+      ['data: b\n', true],
+      ['\n\ni', true],
+    ] as const) {
+      const splitter = EventSplitter.create();
+      splitter.push(Buffer.from(`data: a\n\n${rest}`));
+      expect(splitter.endsInsideEvent(), rest).to.equal(isPartOfEvent);
+    }
+  });
 });
--- a/packages/serving/src/event-splitter.ts
+++ b/packages/serving/src/event-splitter.ts
@@ -17,8 +17,11 @@
   readonly push: (bytes: Buffer) => readonly StreamEvent[];
   /** The bytes after the last complete event. */
   readonly remainder: () => Buffer;
+  /** Whether these bytes are more than line ends and spaces. */
+  readonly endsInsideEvent: () => boolean;
 }
 
+const partialEventPattern = /[^ \t\r\n]/;
 const idPattern = /^id:[ ]?(.*)$/m;
 
 /** Index after the first blank line at or after `from`, or -1. LF is 10, CR is 13. */
@@ -56,6 +59,7 @@
         return events;
       },
       remainder: () => pending,
+      endsInsideEvent: () => partialEventPattern.test(pending.toString('latin1')),
     };
   },
 };
