--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -30,7 +30,7 @@
   readonly onEvent: (event: StreamEvent) => void;
   /** The engine has written for a while, or to the end: the prompt does it no harm. */
   readonly onWritten: () => void;
-  /** The stream is complete; called with the bytes after its last event. */
+  /** The stream is complete; called with the line ends and spaces after its last event. */
   readonly onComplete: (rest: Buffer) => void;
   /** A complete response other than a stream. */
   readonly onOtherResponse: (head: ResponseHead, body: Buffer) => void;
@@ -180,11 +180,14 @@
           if (!release() || head === undefined) {
             return;
           }
-          if (isStreamResponse(head)) {
+          if (!isStreamResponse(head)) {
+            handlers.onOtherResponse(head, otherResponse.toBuffer());
+          } else if (splitter.endsInsideEvent()) {
+            // A complete response may still hold a truncated stream: a failing engine can end it in order.
+            handlers.onFailure({ possiblySent: true, reason: 'the stream ended inside an event' });
+          } else {
             markWritten();
             handlers.onComplete(splitter.remainder());
-          } else {
-            handlers.onOtherResponse(head, otherResponse.toBuffer());
           }
         },
         onFailure: (failure) => {
