Continue a lost stream from a copy only if it had begun

A stream that may run only once ran at two engines, and its caller got 502.

Cause: an engine that closes the connection of a stream may have run it. The stream then continued at the engine that was named for its backup, whether or not the lost run had made an event, that is whether or not a copy could exist. This send named a new backup in turn, so that a continuation that failed went on to that one, up to eight times. An engine without a copy has to refuse; one that crashes on the request instead has run it once more. The class: a send that is safe only if another machine holds some state, made without evidence that it does.

Evidence: the record has six sends of one stream 2 to 6 ms apart, where plain sends end after five refusals.

Now a stream goes on from a copy only if the engine that was lost had sent an event with an id; comments do not count. The same holds for each continuation, so a chain ends at the first engine that makes no event. A stream that can be resumed and had not begun runs again at once instead of asking for a copy, and leaves a silent engine after half of its caller's patience, as one without a backup does.

Ruled out by tests: the HTTP library writing a request twice, and one send with two outcomes.

Not known: whether engines copy memory before the first event; streams that would have gone on from such a copy now end with 502.

--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -156,7 +156,8 @@
     const recovery = (): StreamRecovery =>
       decideRecovery({
         resumable: route.resumable,
-        hasCopy: usableStandby() !== undefined,
+        hasBegun: segment?.firstEventAtMs() !== undefined,
+        hasBackup: usableStandby() !== undefined,
         continuations,
         runs,
         maxRuns: route.maxAttempts,
@@ -338,7 +339,6 @@
           : maxSilenceMs({
               goalMs: route.goalMs,
               gapGoalMs: route.gapGoalMs,
-              hasBegun: segment.firstEventAtMs() !== undefined,
               recovery: recovery(),
             }),
       onSilent: () => {
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -147,11 +147,14 @@
             return;
           }
           for (const event of splitter.push(bytes)) {
-            if (firstEventAtMs === undefined) {
-              onFirstEvent();
+            // A block without an id is a comment, which an engine may send before a run begins.
+            if (event.id !== undefined) {
+              if (firstEventAtMs === undefined) {
+                onFirstEvent();
+              }
+              events += 1;
+              lastEventAtMs = clock.monotonicMs();
             }
-            events += 1;
-            lastEventAtMs = clock.monotonicMs();
             handlers.onEvent(event);
           }
           if (splitter.remainder().length > context.limits.maxEventBytes) {
--- a/packages/serving/src/stream-recovery.ts
+++ b/packages/serving/src/stream-recovery.ts
@@ -2,8 +2,13 @@
 export interface InterruptedStream {
   /** Whether another engine may run the stream again after the last event that the caller has. */
   readonly resumable: boolean;
-  /** Whether an engine that still serves may hold a copy of the run. */
-  readonly hasCopy: boolean;
+  /**
+   * Whether the engine that was lost had sent an event. Before that no copy of the run is known to
+   * exist, and an engine that gets the request may run it anew.
+   */
+  readonly hasBegun: boolean;
+  /** Whether an engine that still serves was to keep a copy of the run. */
+  readonly hasBackup: boolean;
   /** Times that the run was continued from a copy. */
   readonly continuations: number;
   /** Runs that were begun for this request. */
@@ -24,7 +29,7 @@
  * first; without one, only a stream that may be repeated can go on.
  */
 export const decideRecovery = (stream: InterruptedStream): StreamRecovery => {
-  if (stream.hasCopy && stream.continuations < maxContinuations) {
+  if (stream.hasBegun && stream.hasBackup && stream.continuations < maxContinuations) {
     return 'continue-from-copy';
   }
   return stream.resumable && stream.runs < stream.maxRuns ? 'run-again' : 'end';
@@ -36,8 +41,6 @@
   readonly goalMs: number;
   /** Latency objective of the gap between events. */
   readonly gapGoalMs: number;
-  /** Whether its present engine has sent an event; a copy of the run exists only then. */
-  readonly hasBegun: boolean;
   readonly recovery: StreamRecovery;
 }
 
@@ -67,7 +70,7 @@
     case 'run-again':
       return patienceMs * runAgainPatienceShare;
     case 'continue-from-copy':
-      return stream.hasBegun ? patienceMs * copyPatienceShare : Infinity;
+      return patienceMs * copyPatienceShare;
     case 'end':
       return Infinity;
   }
