--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -157,7 +157,8 @@
     const recovery = (): StreamRecovery =>
       decideRecovery({
         resumable: route.resumable,
-        hasCopy: usableStandby() !== undefined,
+        hasBegun: segment?.firstEventAtMs() !== undefined,
+        hasBackup: usableStandby() !== undefined,
         continuations,
         runs,
         maxRuns: route.maxAttempts,
@@ -350,7 +351,6 @@
           : maxSilenceMs({
               goalMs: route.goalMs,
               gapGoalMs: route.gapGoalMs,
-              hasBegun: segment.firstEventAtMs() !== undefined,
               recovery: recovery(),
             }),
       onSilent: () => {
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -162,13 +162,16 @@
             return;
           }
           for (const event of splitter.push(bytes)) {
-            if (firstEventAtMs === undefined) {
-              onFirstEvent();
-            }
-            events += 1;
-            lastEventAtMs = clock.monotonicMs();
-            if (lastEventAtMs - (firstEventAtMs ?? lastEventAtMs) >= writtenAfterMs) {
-              markWritten();
+            // A block without an id is a comment, which an engine may send before a run begins.
+            if (event.id !== undefined) {
+              if (firstEventAtMs === undefined) {
+                onFirstEvent();
+              }
+              events += 1;
+              lastEventAtMs = clock.monotonicMs();
+              if (lastEventAtMs - (firstEventAtMs ?? lastEventAtMs) >= writtenAfterMs) {
+                markWritten();
+              }
             }
             handlers.onEvent(event);
           }
