Reset the connection of a caller without chunks when its stream breaks off

An HTTP/1.0 caller, with or without keep-alive, saw a broken stream that looked complete: such a response ends with its connection, and the gateway closed it in order. It is now reset.

Cause: sendFailure destroys the response once its head was sent. That leaves chunks without their end, but without chunks it is an orderly end.

Evidence: "shows a caller without chunks that a stream breaks off", and the same "that keeps its connection", failed before: AssertionError: expected true to equal false (the connection was closed without an error).

Ruled out: HTTP/1.1 callers with Connection: close. They get chunks, and the last chunk is missing when a stream breaks off; that test and those of streams that complete passed before as well.

--- a/packages/gateway/src/responses.ts
+++ b/packages/gateway/src/responses.ts
@@ -4,8 +4,14 @@
 
 const msPerSecond = 1000;
 
-/** Responds with the problem document (RFC 9457) of a failure. */
+/**
+ * Responds with the problem document (RFC 9457) of a failure. If the head was sent, the connection
+ * is closed instead; it is reset if the body isn't chunked, as a close in order would complete it.
+ */
 export const sendFailure = (response: ServerResponse, failure: Failure): void => {
+  if (response.headersSent && !response.chunkedEncoding) {
+    response.socket?.resetAndDestroy();
+  }
   if (response.headersSent || response.destroyed) {
     response.destroy();
     return;
