Judge prompt parts by crashes, and share proofs with their age

Now losses of one engine within a second are one crash, later ones another. Proofs travel with their age, nodes that join hear only of losses without a later proof, and a node with proof ignores the entry and says so. A stream that ends with its connection and has no event is lost, and one that ends so proves nothing unless it ran for a second. One request is tried 10 s after the third loss and 60 s after the fourth, by the node that acts on the part. Hedges respect the suspicion, and a lease whose entry was not written is ended.

The unit test of the first part had two losses of one crash a second apart; they are 1 ms apart now, as a second is taken for another crash. The tests of restarts, joins, aged proofs and trials are new.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -78,9 +78,9 @@
     const quarantineEntries = QuarantineEntries.create(store, platform.promptQuarantineKey);
     const prompts: PromptGuard = PromptGuard.create(clock, log, {
       share: peers.shareFinding,
-      writesPart: peers.actsOn,
-      store: quarantineEntries.write,
-      unstore: quarantineEntries.remove,
+      actsOnPart: peers.actsOn,
+      writeEntry: quarantineEntries.write,
+      removeEntry: quarantineEntries.remove,
     });
 
     const mirror: StoreMirror = StoreMirror.create(store, clock, log, {
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -242,7 +242,7 @@
         failure.reason,
       );
       if (failure.possiblySent && !endedSegment.hasWritten()) {
-        context.prompts.onLostStart(request, endedSegment.member.upstream.id);
+        context.prompts.onEarlyLoss(request, endedSegment.member.upstream.id);
       }
       if (failure.possiblySent || endedSegment.isContinuation) {
         recover(failure.reason);
--- a/packages/gateway/src/prompt-guard.ts
+++ b/packages/gateway/src/prompt-guard.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@zinniagrade/clock';
 import { Failure } from '@zinniagrade/errors';
-import { PromptQuarantine, quarantineMs, type LostStart } from '@zinniagrade/serving';
+import { lossLifeMs, PromptQuarantine, quarantineMs, type EarlyLoss } from '@zinniagrade/serving';
 import type { CallerRequest } from './caller-request.js';
 import type { Log } from './log.js';
 
@@ -15,12 +15,12 @@
 export interface PromptGuardOptions {
   /** Sends a finding to the other nodes. */
   readonly share: (finding: PromptFinding) => void;
-  /** Whether this node writes the entry of a part to the store. */
-  readonly writesPart: (part: string) => boolean;
+  /** Whether this node writes the entry of a part to the store and tries the part again. */
+  readonly actsOnPart: (part: string) => boolean;
   /** Keeps a part in the store for a time, so that nodes which start later know it. */
-  readonly store: (part: string, lifeMs: number) => Promise<boolean>;
+  readonly writeEntry: (part: string, lifeMs: number) => Promise<boolean>;
   /** Removes the entry of a part that has proven sound. */
-  readonly unstore: (part: string) => Promise<boolean>;
+  readonly removeEntry: (part: string) => Promise<boolean>;
 }
 
 /** Keeps prompts that crash engines away from them, with the findings of all nodes. */
@@ -30,7 +30,7 @@
   /** Whether a request that was lost with its engine may run or go on at another one. */
   readonly allowsRepeat: (request: CallerRequest) => boolean;
   /** To be called when an engine was lost before it had written on the prompt for long. */
-  readonly onLostStart: (request: CallerRequest, engine: string) => void;
+  readonly onEarlyLoss: (request: CallerRequest, engine: string) => void;
   /** To be called when an engine has written on the prompt and went on. */
   readonly onSound: (request: CallerRequest) => void;
   readonly receive: (finding: PromptFinding) => void;
@@ -42,24 +42,34 @@
   readonly sweep: () => void;
 }
 
-/** Longest wait that callers are asked for; an operator may have replaced the engines by then. */
-const maxRetryAfterMs = 60_000;
+/** Wait that callers are asked for: by then a trial may have shown that the part is sound. */
+const retryAfterMs = 60_000;
+/** A trial without a result in this time is repeated. */
+const trialTimeoutMs = 10_000;
+/** Findings sent to a node that joins; more would not fit into one message. */
+const maxFindings = 64;
 
 export const PromptGuard = {
   create: (clock: Clock, log: Log, options: PromptGuardOptions): PromptGuard => {
     const quarantine = PromptQuarantine.create();
+    /** Parts with an entry in the store. */
     const stored = new Set<string>();
+    /** Parts whose entry is being written or removed. */
     const writing = new Set<string>();
+    /** Times at which this node has last let a request with a quarantined part pass. */
+    const triedAtMs = new Map<string, number>();
     const now = clock.monotonicMs;
 
     const write = async (part: string, isWanted: boolean): Promise<void> => {
       writing.add(part);
-      const done = await (isWanted ? options.store(part, quarantineMs) : options.unstore(part));
+      const done = await (isWanted
+        ? options.writeEntry(part, quarantineMs)
+        : options.removeEntry(part));
       log.event('quarantine entry written', { part, isWanted, done });
     };
 
     const writeOnce = (part: string, isWanted: boolean): void => {
-      if (writing.has(part) || !options.writesPart(part)) {
+      if (writing.has(part) || !options.actsOnPart(part)) {
         return;
       }
       write(part, isWanted)
@@ -71,75 +81,104 @@
         });
     };
 
-    const recordLostStart = (start: LostStart): void => {
-      for (const part of quarantine.recordLostStart(start)) {
-        log.event('prompt part quarantined', {
-          part,
-          engine: start.engine,
-          lostStarts: quarantine.lostStarts(now()).length,
-        });
+    const recordLoss = (loss: EarlyLoss): void => {
+      const found = quarantine.recordLoss(loss);
+      log.decision('early loss', {
+        engine: loss.engine,
+        parts: loss.parts.join(),
+        ageMs: Math.round(now() - loss.atMs),
+        found: found.join(),
+      });
+      for (const part of found) {
+        log.event('prompt part quarantined', { part, engine: loss.engine });
         writeOnce(part, true);
       }
     };
 
-    const recordSound = (parts: readonly string[]): readonly string[] => {
-      const cleared = quarantine.recordSound(parts, now());
+    const recordSound = (parts: readonly string[], atMs: number): readonly string[] => {
+      const cleared = quarantine.recordSound(parts, atMs);
       for (const part of cleared) {
+        triedAtMs.delete(part);
         log.event('prompt part sound', { part, stored: stored.has(part) });
       }
       return cleared;
     };
 
+    const shareProofs = (parts: readonly string[]): void => {
+      for (const part of parts) {
+        const atMs = quarantine.provenAtMs(part, now());
+        if (atMs !== undefined) {
+          options.share({ parts: [part], ageMs: now() - atMs });
+        }
+      }
+    };
+
+    /** Lets one request pass when a trial is due; the next one only if nothing came of it. */
+    const takeTrial = (part: string): boolean => {
+      const dueAtMs = Math.max(
+        quarantine.trialDueAtMs(part, now()),
+        (triedAtMs.get(part) ?? -Infinity) + trialTimeoutMs,
+      );
+      if (now() < dueAtMs || !options.actsOnPart(part)) {
+        return false;
+      }
+      triedAtMs.set(part, now());
+      log.event('prompt part tried', { part });
+      return true;
+    };
+
     return {
       refusal: ({ promptParts }) => {
         const part = quarantine.findIn(promptParts, now());
-        return part === undefined
+        return part === undefined || takeTrial(part)
           ? undefined
           : Failure.create(
               'prompt-quarantined',
               `engines were lost on part ${part} of the prompt`,
-              maxRetryAfterMs,
+              retryAfterMs,
             );
       },
       allowsRepeat: ({ promptParts }) => !quarantine.isSuspect(promptParts, now()),
-      onLostStart: ({ promptParts }, engine) => {
-        const parts = promptParts.filter((part) => !quarantine.isProven(part, now()));
+      onEarlyLoss: ({ promptParts }, engine) => {
+        const parts = promptParts.filter(
+          (part) => quarantine.provenAtMs(part, now()) === undefined,
+        );
         if (parts.length > 0) {
-          recordLostStart({ engine, parts, atMs: now() });
+          recordLoss({ engine, parts, atMs: now() });
           options.share({ parts, lostEngine: engine, ageMs: 0 });
         }
       },
       onSound: ({ promptParts }) => {
-        const cleared = recordSound(promptParts);
-        if (cleared.length > 0) {
-          options.share({ parts: cleared, ageMs: 0 });
-        }
+        shareProofs(recordSound(promptParts, now()));
       },
       receive: ({ parts, lostEngine, ageMs }) => {
+        const atMs = now() - Math.min(Math.max(ageMs, 0), lossLifeMs);
         if (lostEngine === undefined) {
-          recordSound(parts);
+          recordSound(parts, atMs);
           return;
         }
-        recordLostStart({ engine: lostEngine, parts, atMs: now() - ageMs });
-        const sound = parts.filter((part) => quarantine.isProven(part, now()));
-        if (sound.length > 0) {
-          options.share({ parts: sound, ageMs: 0 });
-        }
+        recordLoss({ engine: lostEngine, parts, atMs });
+        shareProofs(parts);
       },
       findings: () =>
-        quarantine.lostStarts(now()).map(({ engine, parts, atMs }) => ({
-          parts,
-          lostEngine: engine,
-          ageMs: now() - atMs,
-        })),
+        quarantine
+          .losses(now())
+          .slice(-maxFindings)
+          .map(({ engine, parts, atMs }) => ({
+            parts,
+            lostEngine: engine,
+            ageMs: now() - atMs,
+          })),
       applyStored: (part, isStored) => {
-        if (isStored) {
-          stored.add(part);
-          quarantine.add(part, now());
-        } else if (stored.delete(part)) {
+        log.event('quarantine entry changed', { part, isStored });
+        if (!isStored) {
+          stored.delete(part);
           quarantine.remove(part);
+          return;
         }
-        log.event('quarantine entry changed', { part, isStored });
+        stored.add(part);
+        quarantine.add(part, now());
+        shareProofs([part]);
       },
       sweep: () => {
         const wanted = new Set(quarantine.quarantined(now()));
--- a/packages/gateway/src/quarantine-entries.ts
+++ b/packages/gateway/src/quarantine-entries.ts
@@ -16,11 +16,15 @@
         return false;
       }
       const key = keyOf(part);
+      const id = lease.unsafeCoerce();
       const { outcome } = await store.commit({
         expected: new Map([[key, 0]]),
-        writes: [{ key, value: Buffer.from(part), lease: lease.unsafeCoerce() }],
+        writes: [{ key, value: Buffer.from(part), lease: id }],
         removals: [],
       });
+      if (outcome !== 'done') {
+        await store.revokeLease(id);
+      }
       return outcome === 'done';
     },
     remove: async (part) => {
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -160,7 +160,7 @@
       return;
     }
     logAttempt('answered', member, head.status);
-    if (!failed) {
+    if (head.status < 300) {
       context.prompts.onSound(request);
     }
     forwardResponse(call.response, head, body);
@@ -179,7 +179,7 @@
       refusals += 1;
     } else {
       possibleRuns += 1;
-      context.prompts.onLostStart(request, member.upstream.id);
+      context.prompts.onEarlyLoss(request, member.upstream.id);
     }
     retryOrEnd(failure.possiblySent);
   };
@@ -279,6 +279,9 @@
     if (call.isEnded() || attempts.size === 0 || maxPossibleRuns >= route.maxAttempts) {
       return;
     }
+    if (!context.prompts.allowsRepeat(request)) {
+      return;
+    }
     if (budget.tryTakeRetry(clock.monotonicMs(), context.nodeCount())) {
       metrics.countDecision('hedge');
       send();
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -56,6 +56,7 @@
 
 /** An engine that crashes on a prompt does so within a few events. */
 const writtenAfterMs = 1000;
+const writtenAfterEvents = 4;
 
 const isStreamResponse = (head: ResponseHead): boolean =>
   head.status === 200 && head.matchesRequest && !head.notExecuted;
@@ -69,6 +70,7 @@
   ): StreamSegment => {
     const { clock } = context;
     const { member, backup, copy, afterEvent } = options;
+    const isResumed = copy !== undefined || afterEvent !== undefined;
     const runKey = call.request.id;
     const backupKey = `${runKey}#backup`;
     const sentAtMs = clock.monotonicMs();
@@ -169,7 +171,8 @@
               }
               events += 1;
               lastEventAtMs = clock.monotonicMs();
-              if (lastEventAtMs - (firstEventAtMs ?? lastEventAtMs) >= writtenAfterMs) {
+              const wroteForMs = lastEventAtMs - (firstEventAtMs ?? lastEventAtMs);
+              if (wroteForMs >= writtenAfterMs && events >= writtenAfterEvents) {
                 markWritten();
               }
             }
@@ -188,8 +191,13 @@
           } else if (splitter.endsInsideEvent()) {
             // A complete response may still hold a truncated stream: a failing engine can end it in order.
             handlers.onFailure({ possiblySent: true, reason: 'the stream ended inside an event' });
+          } else if (head.endsWithConnection && firstEventAtMs === undefined && !isResumed) {
+            // An engine that crashes may close its connections in order.
+            handlers.onFailure({ possiblySent: true, reason: 'the stream ended without an event' });
           } else {
-            markWritten();
+            if (!head.endsWithConnection) {
+              markWritten();
+            }
             handlers.onComplete(splitter.remainder());
           }
         },
--- a/packages/gateway/src/upstream-client.ts
+++ b/packages/gateway/src/upstream-client.ts
@@ -37,6 +37,8 @@
   readonly matchesRequest: boolean;
   /** Whether the response carries the upstream's seal, by which it confirms the response. */
   readonly sealed: boolean;
+  /** Whether the body has no stated end, so that it ends with the connection. */
+  readonly endsWithConnection: boolean;
   /** Whether the upstream closes the connection after this response. */
   readonly closesConnection: boolean;
   readonly load?: ServiceLoad;
--- a/packages/serving/src/prompt-quarantine.test.ts
+++ b/packages/serving/src/prompt-quarantine.test.ts
@@ -15,14 +15,14 @@
   /** A request that is lost with its engine a second after the one before. */
   const lose = (engine: string, ...parts: readonly string[]): readonly string[] => {
     nowMs += secondMs;
-    return quarantine.recordLostStart({ engine, parts, atMs: nowMs });
+    return quarantine.recordLoss({ engine, parts, atMs: nowMs });
   };
 
   it('keeps a part away after three engines were lost on it, but not the parts it comes with', () => {
     // Guards against one kind of request that crashes engines in turn, and against refusing all
     // requests that share its first part.
     lose('e1', 'first', 'crashing');
-    lose('e1', 'first', 'other');
+    quarantine.recordLoss({ engine: 'e1', parts: ['first', 'other'], atMs: nowMs + 1 });
     lose('e2', 'first', 'crashing');
     expect(quarantine.isSuspect(['first', 'crashing'], nowMs)).to.equal(true);
     expect(lose('e3', 'first', 'crashing')).to.deep.equal(['crashing']);
@@ -59,16 +59,63 @@
   it('counts engines that are lost at once as one loss', () => {
     // Guards against blaming a part for a failed link or a lost data centre.
     for (const engine of ['e1', 'e2', 'e3', 'e4']) {
-      const start = { engine, parts: ['part'], atMs: nowMs };
-      expect(quarantine.recordLostStart(start)).to.deep.equal([]);
+      const loss = { engine, parts: ['part'], atMs: nowMs };
+      expect(quarantine.recordLoss(loss)).to.deep.equal([]);
     }
   });
 
-  it('does not count one engine or one report twice', () => {
+  it('counts one crash of an engine once, whoever reports it and when', () => {
+    for (const atMs of [0, 30, 60, 90]) {
+      quarantine.recordLoss({ engine: 'e1', parts: ['part'], atMs });
+      quarantine.recordLoss({ engine: 'e1', parts: ['part', `other-${String(atMs)}`], atMs });
+    }
+    expect(quarantine.isSuspect(['part'], 100)).to.equal(false);
+  });
+
+  it('counts each crash of an engine that restarts under its old id', () => {
+    // Guards against a part that crashes the same few engines again and again.
+    lose('e1', 'part');
+    nowMs += secondMs;
     lose('e1', 'part');
+    nowMs += secondMs;
+    expect(lose('e1', 'part')).to.deep.equal(['part']);
+  });
+
+  it('reports no loss of a part that was proven later to nodes that join', () => {
+    // Guards against a node that joins and refuses the part that all requests share.
+    lose('e1', 'first', 'a');
+    lose('e2', 'first', 'b');
+    quarantine.recordSound(['first'], nowMs + 1);
+    const reported = quarantine.losses(nowMs).flatMap(({ parts }) => parts);
+    expect(reported).to.deep.equal(['a', 'b']);
+  });
+
+  it('lets an old proof expire, however often it is heard', () => {
+    for (const engine of ['e1', 'e2']) {
+      quarantine.recordSound(['part'], 0);
+      nowMs += 100 * secondMs;
+      quarantine.recordSound(['part'], 0);
+      lose(engine, 'part');
+    }
+    expect(lose('e3', 'part')).to.deep.equal(['part']);
+  });
+
+  it('allows a trial after a time that grows with the losses', () => {
+    // Guards against a sound part that stays refused as no proof can come, and against trials that
+    // crash one engine after the other.
     lose('e1', 'part');
-    lose('e1', 'part', 'other');
-    expect(quarantine.isSuspect(['part'], nowMs)).to.equal(false);
-    expect(quarantine.lostStarts(nowMs)).to.have.length(2);
+    lose('e2', 'part');
+    lose('e3', 'part');
+    expect(quarantine.trialDueAtMs('part', nowMs)).to.equal(nowMs + 10 * secondMs);
+    lose('e4', 'part');
+    expect(quarantine.trialDueAtMs('part', nowMs)).to.equal(nowMs + 60 * secondMs);
+    lose('e5', 'part');
+    expect(quarantine.trialDueAtMs('part', nowMs)).to.equal(Infinity);
+  });
+
+  it('does not take a part from the store that it has proof of', () => {
+    quarantine.recordSound(['part'], nowMs);
+    quarantine.add('part', nowMs);
+    expect(quarantine.findIn(['part'], nowMs)).to.equal(undefined);
   });
 });
