Let a rollout's share follow the evidence, not the time alone

Callers of a service whose new version responds several times slower were moved to it: with four responses the share was raised to 20%, 50% and 100% as time passed, although all four were slow.

Cause: the share was raised while the suspicion, the test statistic relative to the bound of a verdict, was at most 0.5. Four to six responses can't reach that however slow they are (4 of 4: 0.39), and with fewer than 30 responses of the old version nothing is compared and the suspicion is 0. From 48% of the time on the first four responses took the share from 6% to 100% at once.

Now the version also has to be, on each measure over all routes, no more likely worse by the large effect than as good as the old one, something has to be comparable, and the steps 20%, 50% and 100% need 4, 6 and 8 responses.

Ruled out: a test on the small effect in place of the large one. It keeps a good version with two failures in 24 responses at 6% (the existing test).

--- a/packages/moves/src/judge-version.ts
+++ b/packages/moves/src/judge-version.ts
@@ -45,6 +45,12 @@
    * Whether the version is good over all routes, on all counts and on those since the last raise.
    */
   readonly good: boolean;
+  /**
+   * Whether, over all routes, the version is more likely worse by the large effect than as good as
+   * the old one on some measure, or no measure can be compared yet. Unlike `suspicion`, this tells
+   * a bad version from a good one before there are enough answers for a verdict.
+   */
+  readonly doubtful: boolean;
   /** Routes on which the version is not judged good yet. */
   readonly undecidedRoutes: readonly string[];
   /** Routes on which the new version is more likely worse than as good as the old one. */
@@ -125,6 +131,8 @@
 interface MeasureJudgement {
   readonly suspicion: number;
   readonly ratio: number;
+  /** The ratio for the large effect, as far as the old version's rate allows this test. */
+  readonly largeEffectRatio: number;
   readonly good: boolean;
   readonly goodSinceRaise: boolean;
 }
@@ -153,6 +161,8 @@
   return {
     suspicion,
     ratio,
+    largeEffectRatio:
+      logLikelihoodRatio(ratesOf(measure, evidence.old, evidence.total), large) ?? ratio,
     good: ratio <= goodBound(missProbability),
     goodSinceRaise: (sinceRaise ?? 0) <= goodBound(missProbability),
   };
@@ -164,6 +174,9 @@
   readonly good: boolean;
   readonly goodSinceRaise: boolean;
   readonly doubtful: boolean;
+  readonly doubtfulByLargeEffect: boolean;
+  /** Whether the old version has enough answers for a comparison on some measure. */
+  readonly comparable: boolean;
 }
 
 /** Judges one route, or all routes together. Without comparable evidence there is no verdict. */
@@ -178,8 +191,9 @@
     good: true,
     goodSinceRaise: true,
     doubtful: false,
+    doubtfulByLargeEffect: false,
+    comparable: false,
   };
-  let compared = 0;
   for (const measure of evidence === undefined ? [] : measures) {
     const judgement =
       evidence === undefined
@@ -188,7 +202,6 @@
     if (judgement === undefined) {
       continue;
     }
-    compared += 1;
     const suspicion = Math.max(result.suspicion, judgement.suspicion);
     const bad = result.bad ?? (judgement.suspicion >= 1 ? `${measure.name} ${scope}` : undefined);
     result = {
@@ -197,9 +210,11 @@
       good: result.good && judgement.good,
       goodSinceRaise: result.goodSinceRaise && judgement.goodSinceRaise,
       doubtful: result.doubtful || judgement.ratio > 0,
+      doubtfulByLargeEffect: result.doubtfulByLargeEffect || judgement.largeEffectRatio > 0,
+      comparable: true,
     };
   }
-  return compared === 0 ? { ...result, good: false, goodSinceRaise: false } : result;
+  return result.comparable ? result : { ...result, good: false, goodSinceRaise: false };
 };
 
 const evidenceForScope = (
@@ -257,6 +272,7 @@
     ...(bad === undefined ? {} : { bad }),
     suspicion,
     good: overall.good && overall.goodSinceRaise,
+    doubtful: overall.doubtfulByLargeEffect || !overall.comparable,
     undecidedRoutes,
     doubtfulRoutes,
   };
--- a/packages/serving/src/rollout.test.ts
+++ b/packages/serving/src/rollout.test.ts
@@ -29,6 +29,19 @@
   });
 };
 
+const answerOf = (
+  version: string,
+  latency: { readonly firstTokenMs: number; readonly betweenTokensMs?: number },
+): VersionEvidence =>
+  evidenceOf({
+    version,
+    service: 'text',
+    route: 'a',
+    failed: false,
+    betweenTokensMs: 8,
+    ...latency,
+  });
+
 const reportAt = (elapsedMs: number, evidence: readonly VersionEvidence[]): RolloutReport => ({
   target: 'v2',
   elapsedMs,
@@ -70,6 +83,56 @@
     expect(decideRollout(rollout, 'v1', [first ?? withVerdict, withVerdict]).share).to.equal(0);
   });
 
+  /** Responses of the old version, of which one in twenty takes 900 ms and the others 300 ms. */
+  const oldAnswers = (count: number): readonly VersionEvidence[] =>
+    Array.from({ length: count }, (_, index) =>
+      answerOf('v1', { firstTokenMs: index % 20 === 0 ? 900 : 300 }),
+    );
+
+  const newAnswers = (
+    count: number,
+    firstTokenMs: number,
+    betweenTokensMs = 8,
+  ): readonly VersionEvidence[] =>
+    Array.from({ length: count }, () => answerOf('v2', { firstTokenMs, betweenTokensMs }));
+
+  it('does not complete a version whose few responses are all slow', () => {
+    // Guards against a quiet service, on which a test needs more slow responses for a verdict than
+    // the first share yields before the rollout time is over.
+    for (const count of [4, 5, 6, 8]) {
+      const evidence = [...oldAnswers(70), ...newAnswers(count, 1500)];
+      for (const elapsedMs of [4500, 6000, 9000]) {
+        expect(decideRollout(rollout, 'v1', [reportAt(elapsedMs, evidence)]).share).to.equal(0.06);
+      }
+      expect(decideRollout(rollout, 'v1', [reportAt(10_200, evidence)])).to.include({
+        isTooLate: true,
+        mustComplete: false,
+      });
+    }
+  });
+
+  it('does not complete a version whose first events are timely and whose tokens are slow', () => {
+    const evidence = [...oldAnswers(70), ...newAnswers(5, 300, 32)];
+    expect(decideRollout(rollout, 'v1', [reportAt(9000, evidence)]).share).to.equal(0.06);
+  });
+
+  it('does not trust a version while the old one has too few responses for a comparison', () => {
+    const evidence = [...oldAnswers(20), ...newAnswers(20, 1500)];
+    expect(decideRollout(rollout, 'v1', [reportAt(9000, evidence)]).share).to.equal(0.06);
+  });
+
+  it('raises the share no faster than the number of responses allows', () => {
+    // Guards against a share that goes from the first step to 100% on a handful of responses,
+    // because the time of the steps between has passed.
+    const shares = [3, 4, 6, 8].map(
+      (count) =>
+        decideRollout(rollout, 'v1', [
+          reportAt(9000, [...oldAnswers(70), ...newAnswers(count, 300)]),
+        ]).share,
+    );
+    expect(shares).to.deep.equal([0.06, 0.2, 0.5, 1]);
+  });
+
   it('rolls back a version without any evidence', () => {
     // Guards against moving all traffic to a version whose upstreams never responded.
     const decision = decideRollout(rollout, 'v1', [
--- a/packages/serving/src/rollout.ts
+++ b/packages/serving/src/rollout.ts
@@ -41,22 +41,24 @@
 
 interface RolloutStep {
   readonly share: number;
-  /** Share of the rollout time after which the share is raised, if the evidence allows it. */
-  readonly untilElapsedShare: number;
+  /** Share of the rollout time from which the step is taken, if the evidence allows it. */
+  readonly fromElapsedShare: number;
+  /** Number of responses of the new version from which the step is taken. */
+  readonly minNewAnswers: number;
 }
 
+const firstShare = 0.06;
 /**
  * The first step is the longest, so that a bad version is found while its share is small. The last
  * part of the time is left for moving the streams of the old version; nodes may also read the order
- * up to two seconds after the rollout time began.
+ * up to two seconds after the rollout time began. On a quiet service the number of responses delays
+ * the steps: a version that fails half of its requests has failed two of eight in 96% of cases.
  */
-const steps: readonly RolloutStep[] = [
-  { share: 0.06, untilElapsedShare: 0.28 },
-  { share: 0.2, untilElapsedShare: 0.38 },
-  { share: 0.5, untilElapsedShare: 0.48 },
+const laterSteps: readonly RolloutStep[] = [
+  { share: 0.2, fromElapsedShare: 0.28, minNewAnswers: 4 },
+  { share: 0.5, fromElapsedShare: 0.38, minNewAnswers: 6 },
+  { share: 1, fromElapsedShare: 0.48, minNewAnswers: 8 },
 ];
-/** Minimum number of responses of the new version before its share is raised. */
-const minNewAnswers = 4;
 /** The share is not raised while the suspicion is above this. */
 const maxSuspicion = 0.5;
 /**
@@ -72,6 +74,18 @@
   return sum === undefined ? 0 : sum.succeeded + sum.failed;
 };
 
+/** The largest share that both the elapsed time and the number of responses allow. */
+const stepShare = (elapsedShare: number, newAnswers: number): number => {
+  let share = firstShare;
+  for (const step of laterSteps) {
+    if (elapsedShare < step.fromElapsedShare || newAnswers < step.minNewAnswers) {
+      break;
+    }
+    share = step.share;
+  }
+  return share;
+};
+
 /**
  * Decides the share of a new version from the reports of all nodes.
  *
@@ -106,10 +120,11 @@
   bad ??= judgement.bad;
   const newAnswers = answerCount(total, rollout.target);
   const elapsedShare = elapsedMs / Math.max(1, rollout.durationMs);
-  const isTrusted =
-    bad === undefined && newAnswers >= minNewAnswers && judgement.suspicion <= maxSuspicion;
-  const step = steps.find(({ untilElapsedShare }) => elapsedShare < untilElapsedShare);
-  const share = bad !== undefined ? 0 : isTrusted ? (step?.share ?? 1) : (steps[0]?.share ?? 0);
+  // A few responses can't reach half of the bound of a verdict, however bad they are; `doubtful`
+  // tells whether they speak for the version or against it.
+  const isTrusted = bad === undefined && !judgement.doubtful && judgement.suspicion <= maxSuspicion;
+  const share =
+    bad !== undefined ? 0 : isTrusted ? stepShare(elapsedShare, newAnswers) : firstShare;
   return {
     share,
     bad,
