Judge a new version by its open requests too

Callers of a version that responds slowly were sent to it longer than needed, as its slow responses counted only when they had ended, or never.

Cause: the time to the first event and the time between tokens were recorded with the outcome of a request. Requests that ended without an outcome (a silent engine, a timeout, a caller that left, a move) left nothing, and a failed request counted as a first event after 0 ms.

Now each request is followed from its sending on: reports contain the latencies of open requests as far as they are known, and a wait counts once it is slow on its route and over all routes whenever the event comes; shorter waits say nothing. Old and new version are treated alike. Requests that were open when the rollout began count too, so there is something to compare with at once.

--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -112,16 +112,7 @@
 
     const recordOutcome = (endedSegment: StreamSegment, tookMs: number, failed: boolean): void => {
       recordAnswer(endedSegment.member, tookMs, failed);
-      const timing = endedSegment.timing();
-      context.rollouts.observe({
-        member: endedSegment.member,
-        route: route.name,
-        failed,
-        ...(timing.firstEventMs === undefined ? {} : { firstEventMs: timing.firstEventMs }),
-        ...(timing.betweenEventsMs === undefined
-          ? {}
-          : { betweenTokensMs: timing.betweenEventsMs / Math.max(1, engine.tokensPerEvent) }),
-      });
+      context.rollouts.recordOutcome(endedSegment.member, route.name, failed);
     };
 
     const complete = (endedSegment: StreamSegment, rest: Buffer): void => {
@@ -259,6 +250,7 @@
           backup,
           copy,
           afterEvent: progress.lastEventId(),
+          tokensPerEvent: engine.tokensPerEvent,
           promptTokens: placement.promptTokens,
           expectedTokens: placement.expectedTokens(progress.events()),
         },
--- a/packages/gateway/src/rollouts.test.ts
+++ b/packages/gateway/src/rollouts.test.ts
@@ -1,13 +1,41 @@
 import { Random, VirtualClock } from '@zinniagrade/clock';
+import { decideRollout, type FleetMember, type RolloutReport } from '@zinniagrade/serving';
 import { expect } from 'chai';
 import { Log } from './log.js';
-import { Rollouts } from './rollouts.js';
+import { Rollouts, type RequestTiming } from './rollouts.js';
 import { ClusterState } from './cluster-state.js';
 
 /** Multiplier that spreads the seeds: similar seeds start with nearly the same random numbers. */
 const seedSpread = 0x9e3779b1;
 
-const createNode = (index: number): Rollouts => {
+const rollout = { service: 'text', target: 'v2', durationMs: 14_000 };
+
+interface Node {
+  readonly clock: VirtualClock;
+  readonly rollouts: Rollouts;
+  readonly reports: readonly RolloutReport[];
+}
+
+const memberOf = (version: string): FleetMember =>
+  ClusterState.create(Log.createSilent()).fleet.register(
+    {
+      id: version === rollout.target ? 'new' : 'old',
+      service: 'text',
+      address: '127.0.0.1:1',
+      dataCentre: 'a',
+      version,
+      slots: 8,
+      state: 'ready',
+      coldLeftMs: 0,
+    },
+    0,
+  );
+
+const createNode = (
+  index: number,
+  beforeRollout: (rollouts: Rollouts) => void = () => undefined,
+): Node => {
+  const reports: RolloutReport[] = [];
   const log = Log.createSilent();
   const clock = VirtualClock.create();
   const cluster = ClusterState.create(log);
@@ -34,8 +62,6 @@
       0,
     );
   }
-  const rollout = { service: 'text', target: 'v2', durationMs: 14_000 };
-  cluster.apply({ kind: 'rollout', service: 'text', rollout }, 2, 0);
   const rollouts = Rollouts.create(
     clock,
     Random.create(Math.imul(index + 1, seedSpread)),
@@ -51,13 +77,17 @@
         memoryTokens: 0,
         copyTokens: 0,
       }),
-      shareReport: () => undefined,
+      shareReport: (_service, report) => {
+        reports.push(report);
+      },
       writeStatus: () => Promise.resolve({ outcome: 'conflict' }),
       onSuperseded: () => undefined,
     },
   );
+  beforeRollout(rollouts);
+  cluster.apply({ kind: 'rollout', service: 'text', rollout }, 2, 0);
   clock.advance(300);
-  return rollouts;
+  return { clock, rollouts, reports };
 };
 
 describe('rollouts', () => {
@@ -68,27 +98,111 @@
     const requestsEach = 4;
     let toNew = 0;
     for (let node = 0; node < nodes; node += 1) {
-      const rollouts = createNode(node);
+      const { rollouts } = createNode(node);
       for (let request = 0; request < requestsEach; request += 1) {
         const permits = rollouts.chooseVersion('text');
-        const cluster = ClusterState.create(Log.createSilent());
-        const member = cluster.fleet.register(
-          {
-            id: 'new',
-            service: 'text',
-            address: '127.0.0.1:1',
-            dataCentre: 'a',
-            version: 'v2',
-            slots: 8,
-            state: 'ready',
-            coldLeftMs: 0,
-          },
-          0,
-        );
-        toNew += permits(member) ? 1 : 0;
+        toNew += permits(memberOf('v2')) ? 1 : 0;
       }
       rollouts.stop();
     }
     expect(toNew / (nodes * requestsEach)).to.be.within(0.02, 0.1);
   });
+
+  /** Serves requests of the old version, each with its first event after 300 ms. */
+  const serveOldVersion = ({ rollouts }: Node, count: number): void => {
+    const member = memberOf('v1');
+    for (let request = 0; request < count; request += 1) {
+      rollouts.recordOutcome(member, 'a', false);
+      rollouts.follow({ member, route: 'a', timing: () => ({ firstEventMs: 300 }) })();
+    }
+  };
+
+  const shareAtEnd = (node: Node): number => {
+    const [report] = node.reports.slice(-1);
+    return decideRollout(
+      rollout,
+      'v1',
+      report === undefined ? [] : [{ ...report, elapsedMs: 9000 }],
+    ).share;
+  };
+
+  it('count responses of the new version that are slow already and have not ended', () => {
+    // Guards against a version whose few fast responses end and count, while its slow ones are open
+    // until after the decision.
+    const node = createNode(1);
+    const { clock, rollouts } = node;
+    serveOldVersion(node, 60);
+    const member = memberOf('v2');
+    for (let request = 0; request < 8; request += 1) {
+      rollouts.recordOutcome(member, 'a', false);
+      rollouts.follow({ member, route: 'a', timing: () => ({ firstEventMs: 300 }) })();
+    }
+    clock.advance(1000);
+    expect(shareAtEnd(node)).to.equal(1);
+    const sentAtMs = clock.monotonicMs();
+    const timing = (): RequestTiming => ({ waitedMs: clock.monotonicMs() - sentAtMs });
+    for (let request = 0; request < 8; request += 1) {
+      rollouts.follow({ member, route: 'a', timing });
+    }
+    clock.advance(250);
+    expect(shareAtEnd(node), 'short waits say nothing').to.equal(1);
+    clock.advance(2000);
+    expect(shareAtEnd(node), 'long waits are slow').to.equal(0);
+  });
+
+  it('count the tokens of open streams', () => {
+    const node = createNode(1);
+    const { clock, rollouts } = node;
+    const versions = [
+      { version: 'v1', betweenTokensMs: 8 },
+      { version: 'v2', betweenTokensMs: 32 },
+    ];
+    serveOldVersion(node, 60);
+    for (const { version, betweenTokensMs } of versions) {
+      const member = memberOf(version);
+      for (let request = 0; request < 40; request += 1) {
+        rollouts.follow({
+          member,
+          route: 'a',
+          timing: () => ({ firstEventMs: 300, betweenTokensMs }),
+        });
+      }
+    }
+    clock.advance(1000);
+    expect(decideRollout(rollout, 'v1', node.reports.slice(-1)).bad).to.match(/slow tokens/);
+  });
+
+  it('know the latency of requests that were open when the rollout began', () => {
+    // Guards against a rollout whose first decisions have nothing to compare with.
+    const node = createNode(1, (rollouts) => {
+      for (let request = 0; request < 40; request += 1) {
+        rollouts.follow({
+          member: memberOf('v1'),
+          route: 'a',
+          timing: () => ({ firstEventMs: 300 }),
+        });
+      }
+    });
+    node.clock.advance(500);
+    const [report] = node.reports;
+    const counts = report?.evidence.map(({ version, firstTokenCounts }) => ({
+      version,
+      requests: firstTokenCounts.reduce((total, count) => total + count, 0),
+    }));
+    expect(counts).to.deep.equal([{ version: 'v1', requests: 40 }]);
+  });
+
+  it('keep what is known of requests that ended without a response', () => {
+    // Guards against a version whose responses are so slow that callers and timeouts end them.
+    const node = createNode(1);
+    const { clock, rollouts } = node;
+    serveOldVersion(node, 60);
+    clock.advance(1000);
+    const member = memberOf('v2');
+    for (let request = 0; request < 20; request += 1) {
+      rollouts.follow({ member, route: 'a', timing: () => ({ waitedMs: 3000 }) })();
+    }
+    clock.advance(1000);
+    expect(decideRollout(rollout, 'v1', node.reports.slice(-1)).bad).to.match(/slow first tokens/);
+  });
 });
--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -1,5 +1,13 @@
 import type { Clock, Random } from '@zinniagrade/clock';
-import { addEvidence, evidenceOf, VersionPacer, type EvidenceTable } from '@zinniagrade/moves';
+import {
+  addEvidence,
+  evidenceOf,
+  isSlowWait,
+  latencyEvidenceOf,
+  VersionPacer,
+  type EvidenceTable,
+} from '@zinniagrade/moves';
+import type { VersionEvidence } from '@zinniagrade/types';
 import {
   decideRollout,
   oldVersionOf,
@@ -15,17 +23,23 @@
 import type { CommitOutcome } from './metadata-store.js';
 import type { RolloutStatus, ClusterState } from './cluster-state.js';
 
-/** Outcome and latency of one upstream response. */
-export interface Observation {
-  readonly member: FleetMember;
-  readonly route: string;
-  readonly failed: boolean;
+/** What is known so far of the latency of one upstream request. */
+export interface RequestTiming {
   /** Time to the first event, or to the complete response of a plain request. */
   readonly firstEventMs?: number;
+  /** Time since the request was sent, if its first event is awaited. */
+  readonly waitedMs?: number;
   /** Mean time between output tokens. */
   readonly betweenTokensMs?: number;
 }
 
+/** A request that was sent to an upstream. */
+export interface SentRequest {
+  readonly member: FleetMember;
+  readonly route: string;
+  readonly timing: () => RequestTiming;
+}
+
 export interface RolloutsOptions {
   readonly node: string;
   /** Other nodes from which messages arrive. */
@@ -46,7 +60,14 @@
   readonly chooseVersion: (service: string) => (member: FleetMember) => boolean;
   /** Whether streams have to leave the upstream because its version gets no more traffic. */
   readonly isSuperseded: (member: FleetMember) => boolean;
-  readonly observe: (observation: Observation) => void;
+  /**
+   * Follows the latency of a request from its sending on, as responses that are slow enough have
+   * not ended, or never do, while the new version is judged. The returned function has to be called
+   * when the exchange has ended in any way.
+   */
+  readonly follow: (request: SentRequest) => () => void;
+  /** Records whether a request succeeded. */
+  readonly recordOutcome: (member: FleetMember, route: string, failed: boolean) => void;
   readonly receiveReport: (node: string, service: string, report: RolloutReport) => void;
   readonly stop: () => void;
 }
@@ -55,7 +76,10 @@
 interface RolloutProgress {
   readonly rollout: Rollout;
   readonly firstSeenAtMs: number;
+  /** Of requests that have ended. */
   evidence: EvidenceTable;
+  /** Evidence of all nodes at the last step, from which slow responses are told. */
+  known: EvidenceTable;
   readonly reports: Map<string, RolloutReport>;
   decision: RolloutDecision | undefined;
   pacer: VersionPacer;
@@ -80,6 +104,8 @@
     options: RolloutsOptions,
   ): Rollouts => {
     const progresses = new Map<string, RolloutProgress>();
+    /** By service; requests of the old version that are open when a rollout begins count too. */
+    const openRequests = new Map<string, Set<SentRequest>>();
 
     const progressOf = (service: string): RolloutProgress | undefined => {
       const rollout = cluster.rollouts.get(service);
@@ -95,6 +121,7 @@
         rollout,
         firstSeenAtMs: clock.monotonicMs(),
         evidence: {},
+        known: {},
         reports: new Map(),
         decision: undefined,
         // With a random start, many nodes with a few requests each reach the share in total.
@@ -149,11 +176,39 @@
         : storedState(progress) !== 'completed' && !hasUpstream(service, target, true);
     };
 
+    const oldVersion = ({ rollout }: RolloutProgress): string =>
+      oldVersionOf(cluster.fleet.ofService(rollout.service), rollout.target) ?? '';
+
+    /** Latency of a request; a wait that is not slow yet says nothing. */
+    const latencyOf = (
+      progress: RolloutProgress,
+      { member, route, timing }: SentRequest,
+    ): VersionEvidence => {
+      const { firstEventMs, waitedMs, betweenTokensMs } = timing();
+      const isSlow =
+        waitedMs !== undefined && isSlowWait(progress.known, oldVersion(progress), route, waitedMs);
+      const firstTokenMs = firstEventMs ?? (isSlow ? waitedMs : undefined);
+      const { service, version } = member.upstream;
+      return latencyEvidenceOf({
+        version,
+        service,
+        route,
+        ...(firstTokenMs === undefined ? {} : { firstTokenMs }),
+        ...(betweenTokensMs === undefined ? {} : { betweenTokensMs }),
+      });
+    };
+
+    const ownEvidence = (progress: RolloutProgress): readonly VersionEvidence[] => {
+      const requests = openRequests.get(progress.rollout.service) ?? [];
+      const open = [...requests].map((request) => latencyOf(progress, request));
+      return Object.values(addEvidence(progress.evidence, open));
+    };
+
     const reportOf = (progress: RolloutProgress): RolloutReport => ({
       target: progress.rollout.target,
       elapsedMs: clock.monotonicMs() - progress.firstSeenAtMs,
       ...(progress.decision?.bad === undefined ? {} : { bad: progress.decision.bad }),
-      evidence: Object.values(progress.evidence),
+      evidence: ownEvidence(progress),
     });
 
     const isOldVersionInUse = ({ service, target }: Rollout): boolean =>
@@ -221,10 +276,13 @@
         return;
       }
       const { rollout } = progress;
-      const oldVersion = oldVersionOf(cluster.fleet.ofService(service), rollout.target);
       const previous = progress.decision;
+      progress.known = addEvidence(
+        progress.evidence,
+        [...progress.reports.values()].flatMap(({ evidence }) => evidence),
+      );
       const ownReport = reportOf(progress);
-      const decision = decideRollout(rollout, oldVersion ?? '', [
+      const decision = decideRollout(rollout, oldVersion(progress), [
         ownReport,
         ...progress.reports.values(),
       ]);
@@ -276,21 +334,25 @@
           newVersionShare(progress) >= 1
         );
       },
-      observe: ({ member, route, failed, firstEventMs, betweenTokensMs }) => {
+      follow: (request) => {
+        const { service } = request.member.upstream;
+        const requests = openRequests.get(service) ?? new Set();
+        openRequests.set(service, requests.add(request));
+        return () => {
+          const progress = progresses.get(service);
+          if (requests.delete(request) && progress !== undefined) {
+            const latency = latencyOf(progress, request);
+            progress.evidence = addEvidence(progress.evidence, [latency]);
+          }
+        };
+      },
+      recordOutcome: (member, route, failed) => {
         const { service, version } = member.upstream;
         const progress = progresses.get(service);
-        if (progress === undefined) {
-          return;
+        if (progress !== undefined) {
+          const outcome = evidenceOf({ version, service, route, failed });
+          progress.evidence = addEvidence(progress.evidence, [outcome]);
         }
-        const outcome = {
-          version,
-          service,
-          route,
-          failed,
-          ...(firstEventMs === undefined ? {} : { firstTokenMs: firstEventMs }),
-          ...(betweenTokensMs === undefined ? {} : { betweenTokensMs }),
-        };
-        progress.evidence = addEvidence(progress.evidence, [evidenceOf(outcome)]);
       },
       receiveReport: (node, service, report) => {
         const progress = progressOf(service);
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -71,7 +71,7 @@
 
   const recordOutcome = (member: FleetMember, latencyMs: number, failed: boolean): void => {
     recordAnswer(member, latencyMs, failed);
-    context.rollouts.observe({ member, route: route.name, failed, firstEventMs: latencyMs });
+    context.rollouts.recordOutcome(member, route.name, failed);
   };
 
   const endUnserved = (): void => {
@@ -206,7 +206,17 @@
     context.onUseChanged();
     const body = BoundedBody.create(context.limits.maxResponseBytes);
     let responseHead: ResponseHead | undefined;
+    let succeededAfterMs: number | undefined;
+    const stopFollowing = context.rollouts.follow({
+      member,
+      route: route.name,
+      timing: () =>
+        succeededAfterMs === undefined
+          ? { waitedMs: clock.monotonicMs() - sentAtMs }
+          : { firstEventMs: succeededAfterMs },
+    });
     const release = (): void => {
+      stopFollowing();
       attempts.delete(attempt);
       member.ownRuns.delete(runKey);
       context.onUseChanged();
@@ -239,9 +249,17 @@
           }
         },
         onEnd: () => {
+          const latencyMs = clock.monotonicMs() - sentAtMs;
+          if (
+            responseHead !== undefined &&
+            !responseHead.notExecuted &&
+            responseHead.status < 500
+          ) {
+            succeededAfterMs = latencyMs;
+          }
           release();
           if (!call.isEnded() && responseHead !== undefined) {
-            onResponse(member, responseHead, body.toBuffer(), clock.monotonicMs() - sentAtMs);
+            onResponse(member, responseHead, body.toBuffer(), latencyMs);
           }
         },
         onFailure: onExchangeFailure,
@@ -251,6 +269,7 @@
     attempts.add(attempt);
     call.onEnded(() => {
       if (attempts.delete(attempt)) {
+        stopFollowing();
         member.ownRuns.delete(runKey);
         context.onUseChanged();
         exchange.abort();
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -9,6 +9,7 @@
 } from '@zinniagrade/serving';
 import { BoundedBody } from './bounded-body.js';
 import type { Call, ServingContext } from './call.js';
+import type { RequestTiming } from './rollouts.js';
 import type { ResponseHead, Exchange, ExchangeFailure, RunCopy } from './upstream-client.js';
 
 export interface StreamSegmentOptions {
@@ -19,6 +20,7 @@
   readonly copy: RunCopy | undefined;
   /** Id of the last event that the caller has; undefined for the start of the stream. */
   readonly afterEvent: string | undefined;
+  readonly tokensPerEvent: number;
   readonly promptTokens: number;
   /** Expected memory at the end of the stream, in tokens. */
   readonly expectedTokens: number;
@@ -43,8 +45,6 @@
   /** Whether this continues a run from a copy of its memory. */
   readonly isContinuation: boolean;
   readonly firstEventAtMs: () => number | undefined;
-  /** Mean time between events and, unless this is a continuation, time to the first event. */
-  readonly timing: () => { readonly firstEventMs?: number; readonly betweenEventsMs?: number };
   readonly isClosed: () => boolean;
   /** Closes the connection, which stops the run. No handler is called afterwards. */
   readonly close: () => void;
@@ -89,12 +89,26 @@
     backup?.ownRuns.set(backupKey, { ...run, promptTokens: 0, isBackup: true });
     context.onUseChanged();
 
+    /** A continuation has no time to its first event, as its engine does not read the prompt. */
+    const timing = (): RequestTiming => {
+      if (firstEventAtMs === undefined) {
+        return copy === undefined ? { waitedMs: clock.monotonicMs() - sentAtMs } : {};
+      }
+      const tokens = (events - 1) * Math.max(1, options.tokensPerEvent);
+      return {
+        ...(copy === undefined ? { firstEventMs: firstEventAtMs - sentAtMs } : {}),
+        ...(tokens > 0 ? { betweenTokensMs: (lastEventAtMs - firstEventAtMs) / tokens } : {}),
+      };
+    };
+    const stopFollowing = context.rollouts.follow({ member, route: call.route.name, timing });
+
     /** Returns false if the segment was already closed. */
     const release = (): boolean => {
       if (closed) {
         return false;
       }
       closed = true;
+      stopFollowing();
       member.ownRuns.delete(runKey);
       backup?.ownRuns.delete(backupKey);
       context.onUseChanged();
@@ -182,14 +196,6 @@
       sentAtMs,
       isContinuation: copy !== undefined,
       firstEventAtMs: () => firstEventAtMs,
-      timing: () => ({
-        ...(firstEventAtMs === undefined || copy !== undefined
-          ? {}
-          : { firstEventMs: firstEventAtMs - sentAtMs }),
-        ...(firstEventAtMs === undefined || events < 2
-          ? {}
-          : { betweenEventsMs: (lastEventAtMs - firstEventAtMs) / (events - 1) }),
-      }),
       isClosed: () => closed,
       close: () => {
         if (release()) {
--- a/packages/moves/src/evidence.ts
+++ b/packages/moves/src/evidence.ts
@@ -48,6 +48,12 @@
   betweenTokensCounts: countsOf(betweenTokensBucketBoundsMs, outcome.betweenTokensMs),
 });
 
+/** What is known of the latency of a request that has no outcome, for example as it is open. */
+export const latencyEvidenceOf = (latency: Omit<Outcome, 'failed'>): VersionEvidence => ({
+  ...evidenceOf({ ...latency, failed: false }),
+  succeeded: 0,
+});
+
 interface MutableEvidence extends VersionEvidence {
   succeeded: number;
   failed: number;
--- a/packages/moves/src/judge-version.ts
+++ b/packages/moves/src/judge-version.ts
@@ -1,6 +1,18 @@
-import type { VersionEvidence, VersionId } from '@zinniagrade/types';
-import { evidenceOnRoute, evidenceOverall, routesOf, type EvidenceTable } from './evidence.js';
-import { badBound, goodBound, logLikelihoodRatio, type Rates } from './sequential-test.js';
+import type { Milliseconds, VersionEvidence, VersionId } from '@zinniagrade/types';
+import {
+  evidenceOnRoute,
+  evidenceOverall,
+  latencyEvidenceOf,
+  routesOf,
+  type EvidenceTable,
+} from './evidence.js';
+import {
+  badBound,
+  goodBound,
+  logLikelihoodRatio,
+  minOldAnswers,
+  type Rates,
+} from './sequential-test.js';
 
 /** Probability that a good version is judged bad at some time during one move. */
 const moveFalseAlarmProbability = 0.004;
@@ -82,6 +94,29 @@
   return Math.min(bucket, oldCounts.length - 1);
 };
 
+/**
+ * Whether a request that has waited this long for its first token is slow already, on its route and
+ * over all routes, whenever the token comes. False while the old version has too few answers.
+ */
+export const isSlowWait = (
+  table: EvidenceTable,
+  oldVersion: VersionId,
+  route: string,
+  waitedMs: Milliseconds,
+): boolean => {
+  const overall = evidenceOverall(table, oldVersion);
+  if (overall === undefined || sum(overall.firstTokenCounts) < minOldAnswers) {
+    return false;
+  }
+  const wait = latencyEvidenceOf({ ...overall, route, firstTokenMs: waitedMs });
+  const bucket = wait.firstTokenCounts.indexOf(1);
+  const onRoute = evidenceOnRoute(table, oldVersion, route) ?? overall;
+  return (
+    bucket >= firstSlowBucket(overall.firstTokenCounts) &&
+    (sum(onRoute.firstTokenCounts) === 0 || bucket >= firstSlowBucket(onRoute.firstTokenCounts))
+  );
+};
+
 interface BadCount {
   readonly bad: number;
   readonly total: number;
--- a/packages/moves/src/sequential-test.ts
+++ b/packages/moves/src/sequential-test.ts
@@ -1,7 +1,7 @@
 /** Wald's sequential probability ratio test, comparing the rates of bad answers of two versions. */
 
 /** Minimum number of answers of the old version for its rate to count as known. */
-const minOldAnswers = 30;
+export const minOldAnswers = 30;
 /**
  * The old version's rate is taken at the upper end of its confidence interval of two standard
  * errors.
