Send a new version enough of the first requests to judge it by

Callers of a quiet service never got its new version: a good version was taken back at 72% of the rollout time, since four responses had not ended by then.

Cause: 6% of 6 requests a second are four in 11 s, and half of the streams last longer than that. Only ended responses counted.

Now the first 16 requests, summed over all nodes, go to the new version at 20%, the next at 6%. A node does so only while it has the report of every node that it hears, and of one at least: many nodes that know nothing of each other would each send the first requests (the existing test of the share of 87 nodes showed it). Reports contain `newSends`; nodes without it count as having sent enough. Responses count for a step once they have begun; four have to have ended, as a failure is known only then.

--- a/packages/gateway/src/node-message.ts
+++ b/packages/gateway/src/node-message.ts
@@ -67,6 +67,7 @@
   target: z.string(),
   elapsedMs: z.number(),
   bad: z.string().optional(),
+  newSends: z.number().optional(),
   evidence: z.array(
     z.object({
       version: z.string(),
--- a/packages/gateway/src/rollouts.test.ts
+++ b/packages/gateway/src/rollouts.test.ts
@@ -34,6 +34,7 @@
 const createNode = (
   index: number,
   beforeRollout: (rollouts: Rollouts) => void = () => undefined,
+  aliveNodes: ReadonlySet<string> = new Set(),
 ): Node => {
   const reports: RolloutReport[] = [];
   const log = Log.createSilent();
@@ -69,7 +70,7 @@
     cluster,
     {
       node: `n${String(index)}`,
-      aliveNodes: () => new Set(),
+      aliveNodes: () => aliveNodes,
       peerUse: (upstream) => ({
         upstream,
         requests: 0,
@@ -108,6 +109,29 @@
     expect(toNew / (nodes * requestsEach)).to.be.within(0.02, 0.1);
   });
 
+  it('send more of the first requests only while all nodes know what the others sent', () => {
+    // Guards against many nodes that each send a new version the first requests of all of them.
+    const { clock, rollouts } = createNode(1, undefined, new Set(['n2', 'n3']));
+    const countNew = (): number => {
+      const requests = 200;
+      let toNew = 0;
+      for (let request = 0; request < requests; request += 1) {
+        toNew += rollouts.chooseVersion('text')(memberOf('v2')) ? 1 : 0;
+      }
+      return toNew / requests;
+    };
+    const report: RolloutReport = { target: 'v2', elapsedMs: 300, newSends: 2, evidence: [] };
+    rollouts.receiveReport('n2', 'text', report);
+    clock.advance(200);
+    expect(countNew(), 'one report is missing').to.be.within(0.04, 0.08);
+    rollouts.receiveReport('n3', 'text', report);
+    clock.advance(200);
+    expect(countNew(), 'all are known').to.be.within(0.15, 0.25);
+    rollouts.receiveReport('n3', 'text', { ...report, newSends: 14 });
+    clock.advance(200);
+    expect(countNew(), 'enough were sent').to.be.within(0.04, 0.08);
+  });
+
   /** Serves requests of the old version, each with its first event after 300 ms. */
   const serveOldVersion = ({ rollouts }: Node, count: number): void => {
     const member = memberOf('v1');
--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -76,6 +76,8 @@
 interface RolloutProgress {
   readonly rollout: Rollout;
   readonly firstSeenAtMs: number;
+  /** Requests that this node sent to the new version. */
+  newSends: number;
   /** Of requests that have ended. */
   evidence: EvidenceTable;
   /** Evidence of all nodes at the last step, from which slow responses are told. */
@@ -120,6 +122,7 @@
       const progress: RolloutProgress = {
         rollout,
         firstSeenAtMs: clock.monotonicMs(),
+        newSends: 0,
         evidence: {},
         known: {},
         reports: new Map(),
@@ -208,9 +211,21 @@
       target: progress.rollout.target,
       elapsedMs: clock.monotonicMs() - progress.firstSeenAtMs,
       ...(progress.decision?.bad === undefined ? {} : { bad: progress.decision.bad }),
+      newSends: progress.newSends,
       evidence: ownEvidence(progress),
     });
 
+    /** False for a node that hears no other one: it may be cut off, and others send as well. */
+    const hasAllReports = ({ reports }: RolloutProgress): boolean => {
+      const nodes = options.aliveNodes();
+      for (const node of nodes) {
+        if (!reports.has(node)) {
+          return false;
+        }
+      }
+      return nodes.size > 0;
+    };
+
     const isOldVersionInUse = ({ service, target }: Rollout): boolean =>
       cluster.fleet
         .ofService(service)
@@ -283,7 +298,7 @@
       );
       const ownReport = reportOf(progress);
       const decision = decideRollout(rollout, oldVersion(progress), [
-        ownReport,
+        hasAllReports(progress) ? ownReport : { ...ownReport, newSends: undefined },
         ...progress.reports.values(),
       ]);
       progress.decision = decision;
@@ -335,7 +350,11 @@
         );
       },
       follow: (request) => {
-        const { service } = request.member.upstream;
+        const { service, version } = request.member.upstream;
+        const progressAtSend = progresses.get(service);
+        if (progressAtSend?.rollout.target === version) {
+          progressAtSend.newSends += 1;
+        }
         const requests = openRequests.get(service) ?? new Set();
         openRequests.set(service, requests.add(request));
         return () => {
--- a/packages/serving/src/rollout.test.ts
+++ b/packages/serving/src/rollout.test.ts
@@ -133,6 +133,35 @@
     expect(shares).to.deep.equal([0.06, 0.2, 0.5, 1]);
   });
 
+  it('counts open streams that have begun', () => {
+    // Guards against a service of long streams, whose good versions are taken back because few of
+    // these end within the rollout time.
+    const open = (count: number): readonly VersionEvidence[] =>
+      newAnswers(count, 300).map((answer) => ({ ...answer, succeeded: 0 }));
+    const shares = [
+      [3, 8],
+      [4, 3],
+      [4, 4],
+    ].map(
+      ([ended = 0, begun = 0]) =>
+        decideRollout(rollout, 'v1', [
+          reportAt(9000, [...oldAnswers(70), ...newAnswers(ended, 300), ...open(begun)]),
+        ]).share,
+    );
+    expect(shares).to.deep.equal([0.06, 0.5, 1]);
+  });
+
+  it('sends a version more of the first requests, and few if these do not respond', () => {
+    // Guards against a quiet service whose good versions never get the responses that a raise needs,
+    // and against a version that hangs and is sent ever more requests.
+    const shareAfter = (newSends: number): number =>
+      decideRollout(rollout, 'v1', [
+        { ...reportAt(3000, oldAnswers(40)), newSends },
+        { ...reportAt(3000, []), newSends: 4 },
+      ]).share;
+    expect([0, 11, 12, 30].map(shareAfter)).to.deep.equal([0.2, 0.2, 0.06, 0.06]);
+  });
+
   it('rolls back a version without any evidence', () => {
     // Guards against moving all traffic to a version whose upstreams never responded.
     const decision = decideRollout(rollout, 'v1', [
--- a/packages/serving/src/rollout.ts
+++ b/packages/serving/src/rollout.ts
@@ -18,6 +18,8 @@
   readonly elapsedMs: number;
   /** Why the new version is bad, if the node knows of such a verdict. */
   readonly bad?: string | undefined;
+  /** Requests that the node sent to the new version; undefined if not all of them are known. */
+  readonly newSends?: number | undefined;
   readonly evidence: readonly VersionEvidence[];
 }
 
@@ -35,7 +37,7 @@
   readonly isTooLate: boolean;
   /** Largest test statistic relative to its bound; from 1 on, the version is bad. */
   readonly suspicion: number;
-  /** Number of responses of the new version. */
+  /** Number of responses of the new version that have ended. */
   readonly newAnswers: number;
 }
 
@@ -43,10 +45,17 @@
   readonly share: number;
   /** Share of the rollout time from which the step is taken, if the evidence allows it. */
   readonly fromElapsedShare: number;
-  /** Number of responses of the new version from which the step is taken. */
-  readonly minNewAnswers: number;
+  /** Number of responses of the new version, open or ended, from which the step is taken. */
+  readonly minResponses: number;
 }
 
+/**
+ * Share of the first requests, up to `firstSends` of them. On a quiet service 6% of the requests
+ * are too few to judge a version by before the rollout time is over.
+ */
+const firstSendsShare = 0.2;
+const firstSends = 16;
+/** Share from then on until the version is trusted. */
 const firstShare = 0.06;
 /**
  * The first step is the longest, so that a bad version is found while its share is small. The last
@@ -55,10 +64,12 @@
  * the steps: a version that fails half of its requests has failed two of eight in 96% of cases.
  */
 const laterSteps: readonly RolloutStep[] = [
-  { share: 0.2, fromElapsedShare: 0.28, minNewAnswers: 4 },
-  { share: 0.5, fromElapsedShare: 0.38, minNewAnswers: 6 },
-  { share: 1, fromElapsedShare: 0.48, minNewAnswers: 8 },
+  { share: 0.2, fromElapsedShare: 0.28, minResponses: 4 },
+  { share: 0.5, fromElapsedShare: 0.38, minResponses: 6 },
+  { share: 1, fromElapsedShare: 0.48, minResponses: 8 },
 ];
+/** Whether a response fails is known only when it has ended. */
+const minEnded = 4;
 /** The share is not raised while the suspicion is above this. */
 const maxSuspicion = 0.5;
 /**
@@ -69,16 +80,29 @@
 const rollBackAtElapsedShare = 0.72;
 const secondMs = 1000;
 
-const answerCount = (table: EvidenceTable, version: string): number => {
-  const sum = evidenceOverall(table, version);
-  return sum === undefined ? 0 : sum.succeeded + sum.failed;
+interface ResponseCounts {
+  /** Responses that have ended. */
+  readonly ended: number;
+  /** Responses whose time to the first event is known, many of which are open. */
+  readonly begun: number;
+}
+
+const countResponses = (table: EvidenceTable, version: string): ResponseCounts => {
+  const total = evidenceOverall(table, version);
+  let begun = 0;
+  for (const count of total?.firstTokenCounts ?? []) {
+    begun += count;
+  }
+  return { ended: (total?.succeeded ?? 0) + (total?.failed ?? 0), begun };
 };
 
 /** The largest share that both the elapsed time and the number of responses allow. */
-const stepShare = (elapsedShare: number, newAnswers: number): number => {
+const stepShare = (elapsedShare: number, { ended, begun }: ResponseCounts): number => {
   let share = firstShare;
+  const known = Math.max(ended, begun);
   for (const step of laterSteps) {
-    if (elapsedShare < step.fromElapsedShare || newAnswers < step.minNewAnswers) {
+    const isDue = elapsedShare >= step.fromElapsedShare;
+    if (!isDue || ended < minEnded || known < step.minResponses) {
       break;
     }
     share = step.share;
@@ -100,11 +124,13 @@
 ): RolloutDecision => {
   let elapsedMs = 0;
   let bad: string | undefined;
+  let newSends = 0;
   const evidence: VersionEvidence[] = [];
   for (const report of reports) {
     if (report.target === rollout.target) {
       elapsedMs = Math.max(elapsedMs, report.elapsedMs);
       bad ??= report.bad;
+      newSends += report.newSends ?? firstSends;
       evidence.push(...report.evidence);
     }
   }
@@ -118,20 +144,21 @@
     moveSeconds: rollout.durationMs / secondMs,
   });
   bad ??= judgement.bad;
-  const newAnswers = answerCount(total, rollout.target);
+  const newResponses = countResponses(total, rollout.target);
   const elapsedShare = elapsedMs / Math.max(1, rollout.durationMs);
   // A few responses can't reach half of the bound of a verdict, however bad they are; `doubtful`
   // tells whether they speak for the version or against it.
   const isTrusted = bad === undefined && !judgement.doubtful && judgement.suspicion <= maxSuspicion;
-  const share =
-    bad !== undefined ? 0 : isTrusted ? stepShare(elapsedShare, newAnswers) : firstShare;
+  const untrustedShare = newSends < firstSends ? firstSendsShare : firstShare;
+  const trustedShare = Math.max(untrustedShare, stepShare(elapsedShare, newResponses));
+  const share = bad !== undefined ? 0 : isTrusted ? trustedShare : untrustedShare;
   return {
     share,
     bad,
     mustComplete: share === 1 && elapsedShare >= completeAtElapsedShare,
     isTooLate: share < 1 && elapsedShare >= rollBackAtElapsedShare,
     suspicion: judgement.suspicion,
-    newAnswers,
+    newAnswers: newResponses.ended,
   };
 };
 
