Don't judge a version by the first tokens after a move

Cause, inferred from the times and not from a trace of single streams: since open requests count, the streams that moved off the old version count with the mean over their first events there, while many move at once and engines read prompts. Streams of the old version that were open at the order have a mean over hundreds of events.

Now the tokens of an open stream count from 16 events on, and not if the stream was moved; at its end they count as before.

--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -31,12 +31,16 @@
   readonly waitedMs?: number;
   /** Mean time between output tokens. */
   readonly betweenTokensMs?: number;
+  /** Events from which that mean is taken. */
+  readonly events?: number;
 }
 
 /** A request that was sent to an upstream. */
 export interface SentRequest {
   readonly member: FleetMember;
   readonly route: string;
+  /** Whether this goes on with a stream that began at another upstream. */
+  readonly isContinuation?: boolean;
   readonly timing: () => RequestTiming;
 }
 
@@ -91,6 +95,8 @@
   writing: boolean;
 }
 
+/** The mean of fewer events depends on whether prompts were read between them. */
+const minOpenEvents = 16;
 const stepIntervalMs = 200;
 const reportIntervalMs = 500;
 /** Each node waits this long for each node before it to write a status. */
@@ -182,12 +188,18 @@
     const oldVersion = ({ rollout }: RolloutProgress): string =>
       oldVersionOf(cluster.fleet.ofService(rollout.service), rollout.target) ?? '';
 
-    /** Latency of a request; a wait that is not slow yet says nothing. */
+    /**
+     * Latency of a request. While it is open, a wait that is not slow yet says nothing, nor do the
+     * first tokens, nor those after a move: many streams move at once, which slows any version.
+     */
     const latencyOf = (
       progress: RolloutProgress,
-      { member, route, timing }: SentRequest,
+      { member, route, isContinuation = false, timing }: SentRequest,
+      isOpen: boolean,
     ): VersionEvidence => {
-      const { firstEventMs, waitedMs, betweenTokensMs } = timing();
+      const { firstEventMs, waitedMs, betweenTokensMs, events = 0 } = timing();
+      const knowsTokens =
+        betweenTokensMs !== undefined && (!isOpen || (!isContinuation && events >= minOpenEvents));
       const isSlow =
         waitedMs !== undefined && isSlowWait(progress.known, oldVersion(progress), route, waitedMs);
       const firstTokenMs = firstEventMs ?? (isSlow ? waitedMs : undefined);
@@ -197,13 +209,13 @@
         service,
         route,
         ...(firstTokenMs === undefined ? {} : { firstTokenMs }),
-        ...(betweenTokensMs === undefined ? {} : { betweenTokensMs }),
+        ...(knowsTokens ? { betweenTokensMs } : {}),
       });
     };
 
     const ownEvidence = (progress: RolloutProgress): readonly VersionEvidence[] => {
       const requests = openRequests.get(progress.rollout.service) ?? [];
-      const open = [...requests].map((request) => latencyOf(progress, request));
+      const open = [...requests].map((request) => latencyOf(progress, request, true));
       return Object.values(addEvidence(progress.evidence, open));
     };
 
@@ -360,7 +372,7 @@
         return () => {
           const progress = progresses.get(service);
           if (requests.delete(request) && progress !== undefined) {
-            const latency = latencyOf(progress, request);
+            const latency = latencyOf(progress, request, false);
             progress.evidence = addEvidence(progress.evidence, [latency]);
           }
         };
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -98,9 +98,15 @@
       return {
         ...(copy === undefined ? { firstEventMs: firstEventAtMs - sentAtMs } : {}),
         ...(tokens > 0 ? { betweenTokensMs: (lastEventAtMs - firstEventAtMs) / tokens } : {}),
+        events,
       };
     };
-    const stopFollowing = context.rollouts.follow({ member, route: call.route.name, timing });
+    const stopFollowing = context.rollouts.follow({
+      member,
+      route: call.route.name,
+      isContinuation: copy !== undefined,
+      timing,
+    });
 
     /** Returns false if the segment was already closed. */
     const release = (): boolean => {
