Leave the tokens of moved streams out of a version's evidence

Eight of the 27 streams that had ended at the new version had been moved, with longest gaps of 62 to 136 ms against 0 to 62 ms.

Cause: tokens of a moved stream still counted at its end. Many streams move at once, which slows any version. They never count now; test first: the same streams, ended, judged the version bad before.

--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -189,8 +189,8 @@
       oldVersionOf(cluster.fleet.ofService(rollout.service), rollout.target) ?? '';
 
     /**
-     * Latency of a request. While it is open, a wait that is not slow yet says nothing, nor do the
-     * first tokens, nor those after a move: many streams move at once, which slows any version.
+     * Latency of a request. While it is open, a wait that is not slow yet says nothing, nor do its
+     * first tokens. Those after a move never do: many streams move at once, which slows any version.
      */
     const latencyOf = (
       progress: RolloutProgress,
@@ -199,7 +199,7 @@
     ): VersionEvidence => {
       const { firstEventMs, waitedMs, betweenTokensMs, events = 0 } = timing();
       const knowsTokens =
-        betweenTokensMs !== undefined && (!isOpen || (!isContinuation && events >= minOpenEvents));
+        betweenTokensMs !== undefined && !isContinuation && (!isOpen || events >= minOpenEvents);
       const isSlow =
         waitedMs !== undefined && isSlowWait(progress.known, oldVersion(progress), route, waitedMs);
       const firstTokenMs = firstEventMs ?? (isSlow ? waitedMs : undefined);
