--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -1,5 +1,13 @@
 import type { Clock, Random } from '@zinniagrade/clock';
-import { addEvidence, evidenceOf, VersionPacer, type EvidenceTable } from '@zinniagrade/moves';
+import {
+  addEvidence,
+  evidenceOf,
+  isSlowWait,
+  latencyEvidenceOf,
+  VersionPacer,
+  type EvidenceTable,
+} from '@zinniagrade/moves';
+import type { VersionEvidence } from '@zinniagrade/types';
 import {
   decideRollout,
   oldVersionOf,
@@ -15,15 +23,25 @@
 import type { CommitOutcome } from './metadata-store.js';
 import type { RolloutStatus, ClusterState } from './cluster-state.js';
 
-/** Outcome and latency of one upstream response. */
-export interface Observation {
-  readonly member: FleetMember;
-  readonly route: string;
-  readonly failed: boolean;
+/** What is known so far of the latency of one upstream request. */
+export interface RequestTiming {
   /** Time to the first event, or to the complete response of a plain request. */
   readonly firstEventMs?: number;
+  /** Time since the request was sent, if its first event is awaited. */
+  readonly waitedMs?: number;
   /** Mean time between output tokens. */
   readonly betweenTokensMs?: number;
+  /** Events from which that mean is taken. */
+  readonly events?: number;
+}
+
+/** A request that was sent to an upstream. */
+export interface SentRequest {
+  readonly member: FleetMember;
+  readonly route: string;
+  /** Whether this goes on with a stream that began at another upstream. */
+  readonly isContinuation?: boolean;
+  readonly timing: () => RequestTiming;
 }
 
 export interface RolloutsOptions {
@@ -46,7 +64,14 @@
   readonly chooseVersion: (service: string) => (member: FleetMember) => boolean;
   /** Whether streams have to leave the upstream because its version gets no more traffic. */
   readonly isSuperseded: (member: FleetMember) => boolean;
-  readonly observe: (observation: Observation) => void;
+  /**
+   * Follows the latency of a request from its sending on, as responses that are slow enough have
+   * not ended, or never do, while the new version is judged. The returned function has to be called
+   * when the exchange has ended in any way.
+   */
+  readonly follow: (request: SentRequest) => () => void;
+  /** Records whether a request succeeded. */
+  readonly recordOutcome: (member: FleetMember, route: string, failed: boolean) => void;
   readonly receiveReport: (node: string, service: string, report: RolloutReport) => void;
   readonly stop: () => void;
 }
@@ -55,7 +80,12 @@
 interface RolloutProgress {
   readonly rollout: Rollout;
   readonly firstSeenAtMs: number;
+  /** Requests that this node sent to the new version. */
+  newSends: number;
+  /** Of requests that have ended. */
   evidence: EvidenceTable;
+  /** Evidence of all nodes at the last step, from which slow responses are told. */
+  known: EvidenceTable;
   readonly reports: Map<string, RolloutReport>;
   decision: RolloutDecision | undefined;
   pacer: VersionPacer;
@@ -65,6 +95,8 @@
   writing: boolean;
 }
 
+/** The mean of fewer events depends on whether prompts were read between them. */
+const minOpenEvents = 16;
 const stepIntervalMs = 200;
 const reportIntervalMs = 500;
 /** Each node waits this long for each node before it to write a status. */
@@ -80,6 +112,8 @@
     options: RolloutsOptions,
   ): Rollouts => {
     const progresses = new Map<string, RolloutProgress>();
+    /** By service; requests of the old version that are open when a rollout begins count too. */
+    const openRequests = new Map<string, Set<SentRequest>>();
 
     const progressOf = (service: string): RolloutProgress | undefined => {
       const rollout = cluster.rollouts.get(service);
@@ -94,7 +128,9 @@
       const progress: RolloutProgress = {
         rollout,
         firstSeenAtMs: clock.monotonicMs(),
+        newSends: 0,
         evidence: {},
+        known: {},
         reports: new Map(),
         decision: undefined,
         // With a random start, many nodes with a few requests each reach the share in total.
@@ -149,13 +185,59 @@
         : storedState(progress) !== 'completed' && !hasUpstream(service, target, true);
     };
 
+    const oldVersion = ({ rollout }: RolloutProgress): string =>
+      oldVersionOf(cluster.fleet.ofService(rollout.service), rollout.target) ?? '';
+
+    /**
+     * Latency of a request. While it is open, a wait that is not slow yet says nothing, nor do its
+     * first tokens. Those after a move never do: many streams move at once, which slows any version.
+     */
+    const latencyOf = (
+      progress: RolloutProgress,
+      { member, route, isContinuation = false, timing }: SentRequest,
+      isOpen: boolean,
+    ): VersionEvidence => {
+      const { firstEventMs, waitedMs, betweenTokensMs, events = 0 } = timing();
+      const knowsTokens =
+        betweenTokensMs !== undefined && !isContinuation && (!isOpen || events >= minOpenEvents);
+      const isSlow =
+        waitedMs !== undefined && isSlowWait(progress.known, oldVersion(progress), route, waitedMs);
+      const firstTokenMs = firstEventMs ?? (isSlow ? waitedMs : undefined);
+      const { service, version } = member.upstream;
+      return latencyEvidenceOf({
+        version,
+        service,
+        route,
+        ...(firstTokenMs === undefined ? {} : { firstTokenMs }),
+        ...(knowsTokens ? { betweenTokensMs } : {}),
+      });
+    };
+
+    const ownEvidence = (progress: RolloutProgress): readonly VersionEvidence[] => {
+      const requests = openRequests.get(progress.rollout.service) ?? [];
+      const open = [...requests].map((request) => latencyOf(progress, request, true));
+      return Object.values(addEvidence(progress.evidence, open));
+    };
+
     const reportOf = (progress: RolloutProgress): RolloutReport => ({
       target: progress.rollout.target,
       elapsedMs: clock.monotonicMs() - progress.firstSeenAtMs,
       ...(progress.decision?.bad === undefined ? {} : { bad: progress.decision.bad }),
-      evidence: Object.values(progress.evidence),
+      newSends: progress.newSends,
+      evidence: ownEvidence(progress),
     });
 
+    /** False for a node that hears no other one: it may be cut off, and others send as well. */
+    const hasAllReports = ({ reports }: RolloutProgress): boolean => {
+      const nodes = options.aliveNodes();
+      for (const node of nodes) {
+        if (!reports.has(node)) {
+          return false;
+        }
+      }
+      return nodes.size > 0;
+    };
+
     const isOldVersionInUse = ({ service, target }: Rollout): boolean =>
       cluster.fleet
         .ofService(service)
@@ -221,11 +303,14 @@
         return;
       }
       const { rollout } = progress;
-      const oldVersion = oldVersionOf(cluster.fleet.ofService(service), rollout.target);
       const previous = progress.decision;
+      progress.known = addEvidence(
+        progress.evidence,
+        [...progress.reports.values()].flatMap(({ evidence }) => evidence),
+      );
       const ownReport = reportOf(progress);
-      const decision = decideRollout(rollout, oldVersion ?? '', [
-        ownReport,
+      const decision = decideRollout(rollout, oldVersion(progress), [
+        hasAllReports(progress) ? ownReport : { ...ownReport, newSends: undefined },
         ...progress.reports.values(),
       ]);
       progress.decision = decision;
@@ -276,21 +361,29 @@
           newVersionShare(progress) >= 1
         );
       },
-      observe: ({ member, route, failed, firstEventMs, betweenTokensMs }) => {
+      follow: (request) => {
+        const { service, version } = request.member.upstream;
+        const progressAtSend = progresses.get(service);
+        if (progressAtSend?.rollout.target === version) {
+          progressAtSend.newSends += 1;
+        }
+        const requests = openRequests.get(service) ?? new Set();
+        openRequests.set(service, requests.add(request));
+        return () => {
+          const progress = progresses.get(service);
+          if (requests.delete(request) && progress !== undefined) {
+            const latency = latencyOf(progress, request, false);
+            progress.evidence = addEvidence(progress.evidence, [latency]);
+          }
+        };
+      },
+      recordOutcome: (member, route, failed) => {
         const { service, version } = member.upstream;
         const progress = progresses.get(service);
-        if (progress === undefined) {
-          return;
+        if (progress !== undefined) {
+          const outcome = evidenceOf({ version, service, route, failed });
+          progress.evidence = addEvidence(progress.evidence, [outcome]);
         }
-        const outcome = {
-          version,
-          service,
-          route,
-          failed,
-          ...(firstEventMs === undefined ? {} : { firstTokenMs: firstEventMs }),
-          ...(betweenTokensMs === undefined ? {} : { betweenTokensMs }),
-        };
-        progress.evidence = addEvidence(progress.evidence, [evidenceOf(outcome)]);
       },
       receiveReport: (node, service, report) => {
         const progress = progressOf(service);
--- a/packages/moves/src/judge-version.ts
+++ b/packages/moves/src/judge-version.ts
@@ -1,6 +1,18 @@
-import type { VersionEvidence, VersionId } from '@zinniagrade/types';
-import { evidenceOnRoute, evidenceOverall, routesOf, type EvidenceTable } from './evidence.js';
-import { badBound, goodBound, logLikelihoodRatio, type Rates } from './sequential-test.js';
+import type { Milliseconds, VersionEvidence, VersionId } from '@zinniagrade/types';
+import {
+  evidenceOnRoute,
+  evidenceOverall,
+  latencyEvidenceOf,
+  routesOf,
+  type EvidenceTable,
+} from './evidence.js';
+import {
+  badBound,
+  goodBound,
+  logLikelihoodRatio,
+  minOldAnswers,
+  type Rates,
+} from './sequential-test.js';
 
 /** Probability that a good version is judged bad at some time during one move. */
 const moveFalseAlarmProbability = 0.004;
@@ -45,6 +57,12 @@
    * Whether the version is good over all routes, on all counts and on those since the last raise.
    */
   readonly good: boolean;
+  /**
+   * Whether, over all routes, the version is more likely worse by the large effect than as good as
+   * the old one on some measure, or no measure can be compared yet. Unlike `suspicion`, this tells
+   * a bad version from a good one before there are enough answers for a verdict.
+   */
+  readonly doubtful: boolean;
   /** Routes on which the version is not judged good yet. */
   readonly undecidedRoutes: readonly string[];
   /** Routes on which the new version is more likely worse than as good as the old one. */
@@ -76,6 +94,29 @@
   return Math.min(bucket, oldCounts.length - 1);
 };
 
+/**
+ * Whether a request that has waited this long for its first token is slow already, on its route and
+ * over all routes, whenever the token comes. False while the old version has too few answers.
+ */
+export const isSlowWait = (
+  table: EvidenceTable,
+  oldVersion: VersionId,
+  route: string,
+  waitedMs: Milliseconds,
+): boolean => {
+  const overall = evidenceOverall(table, oldVersion);
+  if (overall === undefined || sum(overall.firstTokenCounts) < minOldAnswers) {
+    return false;
+  }
+  const wait = latencyEvidenceOf({ ...overall, route, firstTokenMs: waitedMs });
+  const bucket = wait.firstTokenCounts.indexOf(1);
+  const onRoute = evidenceOnRoute(table, oldVersion, route) ?? overall;
+  return (
+    bucket >= firstSlowBucket(overall.firstTokenCounts) &&
+    (sum(onRoute.firstTokenCounts) === 0 || bucket >= firstSlowBucket(onRoute.firstTokenCounts))
+  );
+};
+
 interface BadCount {
   readonly bad: number;
   readonly total: number;
@@ -125,6 +166,8 @@
 interface MeasureJudgement {
   readonly suspicion: number;
   readonly ratio: number;
+  /** The ratio for the large effect, as far as the old version's rate allows this test. */
+  readonly largeEffectRatio: number;
   readonly good: boolean;
   readonly goodSinceRaise: boolean;
 }
@@ -153,6 +196,8 @@
   return {
     suspicion,
     ratio,
+    largeEffectRatio:
+      logLikelihoodRatio(ratesOf(measure, evidence.old, evidence.total), large) ?? ratio,
     good: ratio <= goodBound(missProbability),
     goodSinceRaise: (sinceRaise ?? 0) <= goodBound(missProbability),
   };
@@ -164,6 +209,9 @@
   readonly good: boolean;
   readonly goodSinceRaise: boolean;
   readonly doubtful: boolean;
+  readonly doubtfulByLargeEffect: boolean;
+  /** Whether the old version has enough answers for a comparison on some measure. */
+  readonly comparable: boolean;
 }
 
 /** Judges one route, or all routes together. Without comparable evidence there is no verdict. */
@@ -178,8 +226,9 @@
     good: true,
     goodSinceRaise: true,
     doubtful: false,
+    doubtfulByLargeEffect: false,
+    comparable: false,
   };
-  let compared = 0;
   for (const measure of evidence === undefined ? [] : measures) {
     const judgement =
       evidence === undefined
@@ -188,7 +237,6 @@
     if (judgement === undefined) {
       continue;
     }
-    compared += 1;
     const suspicion = Math.max(result.suspicion, judgement.suspicion);
     const bad = result.bad ?? (judgement.suspicion >= 1 ? `${measure.name} ${scope}` : undefined);
     result = {
@@ -197,9 +245,11 @@
       good: result.good && judgement.good,
       goodSinceRaise: result.goodSinceRaise && judgement.goodSinceRaise,
       doubtful: result.doubtful || judgement.ratio > 0,
+      doubtfulByLargeEffect: result.doubtfulByLargeEffect || judgement.largeEffectRatio > 0,
+      comparable: true,
     };
   }
-  return compared === 0 ? { ...result, good: false, goodSinceRaise: false } : result;
+  return result.comparable ? result : { ...result, good: false, goodSinceRaise: false };
 };
 
 const evidenceForScope = (
@@ -257,6 +307,7 @@
     ...(bad === undefined ? {} : { bad }),
     suspicion,
     good: overall.good && overall.goodSinceRaise,
+    doubtful: overall.doubtfulByLargeEffect || !overall.comparable,
     undecidedRoutes,
     doubtfulRoutes,
   };
