Keep the limit that an upstream states over all nodes together

Callers saw an order service in need that got slower: upstreams that stated how many requests a second they take got two to three times as many.

Cause: the response header Server-Limit was not read, so nodes chose these upstreams by latency as before. A limit that each node kept alone would not help: eight nodes had sent 6 to 8 a second together where 3.2 were stated.

Now the node that reads a limit tells all others at once. As many nodes as the limit has whole requests share it, chosen alike everywhere by rendezvous hashing, so the sum holds at any number of nodes and needs no exchange for each request. What was sent in the second before counts against the limit. A request sent after the last statement that is answered without one ends the limit; one that isn't stated for 15 s is forgotten.

Ruled out: repeats (nothing was turned away, and 3 of 67 attempts at the two upstreams from 8 to 12 s could be repeated). Weighed and not taken: a part of the limit for every node (77 nodes with a limit of 3 send 77 requests at first), and counting the sends of all nodes by announcements (over relays, 100 ms of a service's traffic could meet at one upstream).

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -9,6 +9,7 @@
 import type { PromptGuard } from './prompt-guard.js';
 import type { Rollouts } from './rollouts.js';
 import type { ServiceRecord } from './service-records.js';
+import type { StatedLimits } from './stated-limits.js';
 import type { UpstreamClient } from './upstream-client.js';
 import type { ClusterState } from './cluster-state.js';
 
@@ -26,8 +27,10 @@
   /** Retry budget and statistics that this node keeps for a service. */
   readonly recordOf: (service: string) => ServiceRecord;
   readonly nodeCount: () => number;
-  /** Whether the cold-start limit of this upstream allows one more request. */
-  readonly isWithinColdLimit: (member: FleetMember) => boolean;
+  /** Whether the cold-start limit and the stated limit of this upstream allow one more request. */
+  readonly isWithinRateLimits: (member: FleetMember) => boolean;
+  /** Limits that upstreams in need state. */
+  readonly statedLimits: StatedLimits;
   /** Shifts of services' traffic to other versions. */
   readonly rollouts: Rollouts;
   /** Prompts that crash engines. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 import { serveCall } from './serve-call.js';
 import { ServiceRecords } from './service-records.js';
 import type { GatewaySettings } from './settings.js';
+import { StatedLimits } from './stated-limits.js';
 import { StoreMirror } from './store-mirror.js';
 import { EngineDrainer } from './engine-drainer.js';
 import { Shutdown } from './shutdown.js';
@@ -73,6 +74,17 @@
         prompts.receive(finding);
       },
       findings: () => prompts.findings(),
+      onLimit: (finding) => {
+        statedLimits.receive(finding);
+      },
+      limits: () => statedLimits.findings(),
+    });
+
+    const statedLimits: StatedLimits = StatedLimits.create(clock, log, cluster.fleet, {
+      node: settings.node,
+      nodeCount: () => Math.max(1, cluster.nodes.size),
+      aliveNodes: peers.aliveNodes,
+      share: peers.shareLimit,
     });
 
     const quarantineEntries = QuarantineEntries.create(store, platform.promptQuarantineKey);
@@ -137,7 +149,8 @@
       limits: MemoryLimits.create(settings.memoryBytes),
       recordOf: serviceRecords.get,
       nodeCount: () => Math.max(1, cluster.nodes.size),
-      isWithinColdLimit: isWithinColdStartLimit,
+      isWithinRateLimits: (member) => isWithinColdStartLimit(member) && statedLimits.allows(member),
+      statedLimits,
       rollouts,
       prompts,
       peerUse: peers.peerUse,
--- a/packages/gateway/src/node-message.test.ts
+++ b/packages/gateway/src/node-message.test.ts
@@ -27,6 +27,10 @@
     { node: 'n1', parts: ['a1', 'b2'], ageMs: 5, lostEngine: 'e' },
     { node: 'n2', parts: ['a1'], ageMs: 0 },
   ],
+  limits: [
+    { node: 'n1', upstream: 'e', perSecond: 2.5, ageMs: 4, earlierSends: 3 },
+    { node: 'n2', upstream: 'e', ageMs: 0, earlierSends: 0 },
+  ],
   alive: ['n1', 'n2'],
   revision: 9,
 };
@@ -41,7 +45,15 @@
   it('is ignored if any part of it is malformed', () => {
     // Guards against a message that ends the process of the node that reads it.
     const wire = encodeNodeMessage(state) as Record<string, unknown>;
-    const field = constantFrom('nodes', 'loads', 'reports', 'findings', 'alive', 'revision');
+    const field = constantFrom(
+      'nodes',
+      'loads',
+      'reports',
+      'findings',
+      'limits',
+      'alive',
+      'revision',
+    );
     assert(
       property(field, anything(), (name, value) => {
         decodeNodeMessage({ ...wire, [name]: value });
--- a/packages/gateway/src/node-message.ts
+++ b/packages/gateway/src/node-message.ts
@@ -1,6 +1,7 @@
 import type { EngineLoad, RolloutReport, UpstreamUse } from '@zinniagrade/serving';
 import { z } from 'zod';
 import type { PromptFinding } from './prompt-guard.js';
+import type { LimitFinding } from './stated-limits.js';
 
 /**
  * A change of one store key, sent from node to node; an undefined value means that the key was
@@ -49,19 +50,29 @@
   readonly node: string;
 }
 
+/** What a node has learned of the limit that an upstream states. */
+export interface SharedLimit extends LimitFinding {
+  readonly node: string;
+}
+
+/** Updates that are forwarded once, each with the node that it comes from. */
+export interface SharedUpdates {
+  readonly loads: readonly SharedLoad[];
+  readonly reports: readonly SharedReport[];
+  readonly findings: readonly SharedFinding[];
+  readonly limits: readonly SharedLimit[];
+}
+
 /** A message between nodes. */
 export type NodeMessage =
-  | {
+  | (SharedUpdates & {
       readonly kind: 'state';
       readonly nodes: readonly NodeState[];
-      readonly loads: readonly SharedLoad[];
-      readonly reports: readonly SharedReport[];
-      readonly findings: readonly SharedFinding[];
       /** Set by relays: all nodes that the sender receives messages from. */
       readonly alive?: readonly string[];
       /** Store revision up to which the sender knows all changes. */
       readonly revision: number;
-    }
+    })
   /** Requests the store changes after a revision. */
   | { readonly kind: 'pull'; readonly after: number }
   | {
@@ -203,6 +214,17 @@
   };
 };
 
+const toLimit = (value: unknown): SharedLimit => {
+  const [node, upstream, perSecond, ageMs, earlierSends] = toRow(value);
+  return {
+    node: toText(node),
+    upstream: toText(upstream),
+    ...(perSecond === null ? {} : { perSecond: toNumber(perSecond) }),
+    ageMs: toNumber(ageMs),
+    earlierSends: toNumber(earlierSends),
+  };
+};
+
 const toStateMessage = (fields: Readonly<Record<string, unknown>>): NodeMessage => ({
   kind: 'state',
   nodes: toRow(fields.nodes).map(toState),
@@ -210,6 +232,7 @@
   reports: toRow(fields.reports).map(toReport),
   // Nodes of an earlier version send none.
   findings: toRow(fields.findings ?? []).map(toFinding),
+  limits: toRow(fields.limits ?? []).map(toLimit),
   ...(fields.alive === undefined ? {} : { alive: toRow(fields.alive).map(toText) }),
   revision: toNumber(fields.revision),
 });
@@ -268,6 +291,13 @@
           ageMs,
           lostEngine ?? null,
         ]),
+        limits: message.limits.map(({ node, upstream, perSecond, ageMs, earlierSends }) => [
+          node,
+          upstream,
+          perSecond ?? null,
+          ageMs,
+          earlierSends,
+        ]),
       }
     : message;
 
--- a/packages/gateway/src/node-peers.ts
+++ b/packages/gateway/src/node-peers.ts
@@ -15,6 +15,7 @@
 import { PeerBroadcast } from './peer-broadcast.js';
 import { NodeLinks } from './node-links.js';
 import type { PromptFinding } from './prompt-guard.js';
+import type { LimitFinding } from './stated-limits.js';
 import type { NodeMessage, RelayedChange } from './node-message.js';
 import type { StoreMirror } from './store-mirror.js';
 import type { NodeEntry, ClusterState } from './cluster-state.js';
@@ -30,6 +31,9 @@
   readonly onFinding: (finding: PromptFinding) => void;
   /** Findings on prompts for a node that has none yet. */
   readonly findings: () => readonly PromptFinding[];
+  readonly onLimit: (finding: LimitFinding) => void;
+  /** Limits of upstreams for a node that has none yet. */
+  readonly limits: () => readonly LimitFinding[];
 }
 
 /**
@@ -46,6 +50,7 @@
   readonly shareLoad: (upstream: string, load: EngineLoad) => void;
   readonly shareReport: (service: string, report: RolloutReport) => void;
   readonly shareFinding: (finding: PromptFinding) => void;
+  readonly shareLimit: (finding: LimitFinding) => void;
   /**
    * Delay before this node acts on an event that all nodes learn of at once, so that nodes act in
    * turn.
@@ -157,6 +162,8 @@
       onReport: options.onReport,
       onFinding: options.onFinding,
       findings: options.findings,
+      onLimit: options.onLimit,
+      limits: options.limits,
       onNodeLost: peerUse.forget,
     });
 
@@ -275,6 +282,10 @@
         broadcast.shareFinding(finding);
         scheduleFlush();
       },
+      shareLimit: (finding) => {
+        broadcast.shareLimit(finding);
+        scheduleFlush();
+      },
       turnDelayMs: () => {
         let precedingNodes = 0;
         for (const node of broadcast.aliveNodes()) {
--- a/packages/gateway/src/peer-broadcast.test.ts
+++ b/packages/gateway/src/peer-broadcast.test.ts
@@ -92,6 +92,8 @@
         onReport: () => undefined,
         onFinding: () => undefined,
         findings: () => [],
+        onLimit: () => undefined,
+        limits: () => [],
         onNodeLost: (gone) => {
           memoryTokensByPair.delete(`${node} ${gone}`);
         },
--- a/packages/gateway/src/peer-broadcast.ts
+++ b/packages/gateway/src/peer-broadcast.ts
@@ -6,13 +6,13 @@
 } from '@zinniagrade/serving';
 import { AliveNodes } from './alive-nodes.js';
 import type { PromptFinding } from './prompt-guard.js';
+import type { LimitFinding } from './stated-limits.js';
 import { createAudiences, type Audience } from './peer-audiences.js';
 import type {
   NodeMessage,
   NodeState,
   SharedFinding,
-  SharedLoad,
-  SharedReport,
+  SharedUpdates,
   StoreAccess,
 } from './node-message.js';
 
@@ -39,6 +39,9 @@
   readonly onFinding: (finding: PromptFinding) => void;
   /** Findings on prompts for a node that has none yet. */
   readonly findings: () => readonly PromptFinding[];
+  readonly onLimit: (finding: LimitFinding) => void;
+  /** Limits of upstreams for a node that has none yet. */
+  readonly limits: () => readonly LimitFinding[];
   /** Called for a node from which messages no longer arrive, directly or via a relay. */
   readonly onNodeLost: (node: string) => void;
 }
@@ -53,6 +56,7 @@
   readonly shareLoad: (upstream: string, load: EngineLoad) => void;
   readonly shareReport: (service: string, report: RolloutReport) => void;
   readonly shareFinding: (finding: PromptFinding) => void;
+  readonly shareLimit: (finding: LimitFinding) => void;
   readonly receive: (from: string, message: Extract<NodeMessage, { kind: 'state' }>) => void;
   readonly onLinkOpen: (node: string) => void;
   readonly onLinkLost: (node: string) => void;
@@ -75,14 +79,24 @@
  */
 const refreshIntervalMs = 5000;
 
-/** Updates that are forwarded once, each with the node that it comes from. */
-interface SharedUpdates {
-  readonly loads: readonly SharedLoad[];
-  readonly reports: readonly SharedReport[];
-  readonly findings: readonly SharedFinding[];
-}
+const noUpdates: SharedUpdates = { loads: [], reports: [], findings: [], limits: [] };
+
+const countUpdates = ({ loads, reports, findings, limits }: SharedUpdates): number =>
+  loads.length + reports.length + findings.length + limits.length;
+
+const updatesFrom = (updates: SharedUpdates, wants: Audience['wants']): SharedUpdates => ({
+  loads: updates.loads.filter(({ node }) => wants(node)),
+  reports: updates.reports.filter(({ node }) => wants(node)),
+  findings: updates.findings.filter(({ node }) => wants(node)),
+  limits: updates.limits.filter(({ node }) => wants(node)),
+});
 
-const noUpdates: SharedUpdates = { loads: [], reports: [], findings: [] };
+const mergeUpdates = (first: SharedUpdates, second: SharedUpdates): SharedUpdates => ({
+  loads: [...first.loads, ...second.loads],
+  reports: [...first.reports, ...second.reports],
+  findings: [...first.findings, ...second.findings],
+  limits: [...first.limits, ...second.limits],
+});
 
 export const PeerBroadcast = {
   create: (options: PeerBroadcastOptions): PeerBroadcast => {
@@ -102,9 +116,8 @@
     const contacted = new Set<string>();
     /** The alive list that was last sent, by node. */
     const sentAliveLists = new Map<string, string>();
-    let loads: SharedLoad[] = [];
-    let reports: SharedReport[] = [];
-    let findings: SharedFinding[] = [];
+    /** Updates that are sent with the next flush. */
+    let pending: SharedUpdates = noUpdates;
     let sequence = 0;
     let ownStateChanged = true;
     let linksChanged = true;
@@ -175,7 +188,11 @@
         return;
       }
       const list = aliveList();
-      const updates = { ...noUpdates, findings: options.findings().map(ownFinding) };
+      const updates = {
+        ...noUpdates,
+        findings: options.findings().map(ownFinding),
+        limits: options.limits().map((limit) => ({ ...limit, node: options.node })),
+      };
       sendState(added, statesOf(states.keys(), wants), updates, list);
       for (const node of added) {
         synchronized.add(node);
@@ -189,13 +206,8 @@
       for (const audience of audiences()) {
         const known = audience.nodes.filter((node) => synchronized.has(node));
         const changed = statesOf(changedNodes, audience.wants);
-        const updates = {
-          loads: loads.filter(({ node }) => audience.wants(node)),
-          reports: reports.filter(({ node }) => audience.wants(node)),
-          findings: findings.filter(({ node }) => audience.wants(node)),
-        };
-        const updateCount = updates.loads.length + updates.reports.length + updates.findings.length;
-        if (changed.length + updateCount > 0 && known.length > 0) {
+        const updates = updatesFrom(pending, audience.wants);
+        if (changed.length + countUpdates(updates) > 0 && known.length > 0) {
           sendState(known, changed, updates);
         }
         synchronize(audience);
@@ -211,9 +223,7 @@
       }
       linksChanged = false;
       changedNodes.clear();
-      loads = [];
-      reports = [];
-      findings = [];
+      pending = noUpdates;
     };
 
     /** Tells nodes which others are alive, if that has changed since they were told. */
@@ -231,6 +241,25 @@
       }
     };
 
+    const share = (updates: Partial<SharedUpdates>): void => {
+      pending = mergeUpdates(pending, { ...noUpdates, ...updates });
+    };
+
+    const applyUpdates = ({ loads, reports, findings, limits }: SharedUpdates): void => {
+      for (const { upstream, load, ageMs } of loads) {
+        options.onLoad(upstream, load, options.nowMs() - ageMs);
+      }
+      for (const { node, service, report } of reports) {
+        options.onReport(node, service, report);
+      }
+      for (const finding of findings) {
+        options.onFinding(finding);
+      }
+      for (const limit of limits) {
+        options.onLimit(limit);
+      }
+    };
+
     const acceptState = (state: NodeState): void => {
       if (isOwn(state.node)) {
         return;
@@ -260,13 +289,16 @@
         ownStateChanged = true;
       },
       shareLoad: (upstream, load) => {
-        loads.push({ node: options.node, upstream, ageMs: 0, load });
+        share({ loads: [{ node: options.node, upstream, ageMs: 0, load }] });
       },
       shareReport: (service, report) => {
-        reports.push({ node: options.node, service, report });
+        share({ reports: [{ node: options.node, service, report }] });
       },
       shareFinding: (finding) => {
-        findings.push(ownFinding(finding));
+        share({ findings: [ownFinding(finding)] });
+      },
+      shareLimit: (finding) => {
+        share({ limits: [{ ...finding, node: options.node }] });
       },
       receive: (from, message) => {
         for (const state of message.nodes) {
@@ -276,24 +308,9 @@
           alive.setListOf(from, message.alive);
           removeLostNodes();
         }
-        for (const shared of message.loads) {
-          if (!isOwn(shared.node)) {
-            options.onLoad(shared.upstream, shared.load, options.nowMs() - shared.ageMs);
-            loads.push(shared);
-          }
-        }
-        for (const shared of message.reports) {
-          if (!isOwn(shared.node)) {
-            options.onReport(shared.node, shared.service, shared.report);
-            reports.push(shared);
-          }
-        }
-        for (const shared of message.findings) {
-          if (!isOwn(shared.node)) {
-            options.onFinding(shared);
-            findings.push(shared);
-          }
-        }
+        const updates = updatesFrom(message, (node) => !isOwn(node));
+        applyUpdates(updates);
+        share(updates);
       },
       onLinkOpen: (node) => {
         alive.onLinkOpen();
@@ -322,12 +339,7 @@
         contacted.clear();
       },
       hasPending: () =>
-        ownStateChanged ||
-        linksChanged ||
-        changedNodes.size > 0 ||
-        loads.length > 0 ||
-        reports.length > 0 ||
-        findings.length > 0,
+        ownStateChanged || linksChanged || changedNodes.size > 0 || countUpdates(pending) > 0,
       aliveNodes: alive.current,
       states: () => states,
     };
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -1,6 +1,6 @@
 import { Failure } from '@zinniagrade/errors';
 import {
-  recordColdSend,
+  recordSend,
   placeCall,
   recordAnswer,
   type PlacementConstraints,
@@ -53,7 +53,7 @@
     nowMs: clock.monotonicMs(),
     excludedUpstreams: excluded,
     withdrawnDataCentres: context.cluster.withdrawn,
-    allows: (member) => context.isWithinColdLimit(member) && call.allowsVersionOf(member),
+    allows: (member) => context.isWithinRateLimits(member) && call.allowsVersionOf(member),
     peerUse: context.peerUse,
     unknownPlacements: context.unknownPlacements(service.name),
   });
@@ -210,7 +210,7 @@
       budget.recordFirstSend(sentAtMs);
     }
     const runKey = `${request.id}#${String(sends)}`;
-    recordColdSend(member, sentAtMs);
+    recordSend(member, sentAtMs);
     member.ownRuns.set(runKey, {
       requestId: request.id,
       sentAtMs,
@@ -254,6 +254,7 @@
       {
         onHead: (head) => {
           responseHead = head;
+          context.statedLimits.onResponse(member, head, sentAtMs);
         },
         onData: (bytes) => {
           if (!body.add(bytes)) {
--- a/packages/gateway/src/stream-placement.ts
+++ b/packages/gateway/src/stream-placement.ts
@@ -81,7 +81,7 @@
       nowMs: clock.monotonicMs(),
       excludedUpstreams: excluded,
       withdrawnDataCentres: cluster.withdrawn,
-      allows: (member) => context.isWithinColdLimit(member) && call.allowsVersionOf(member),
+      allows: (member) => context.isWithinRateLimits(member) && call.allowsVersionOf(member),
       peerUse: context.peerUse,
       unknownPlacements: context.unknownPlacements(call.service.name),
       ...(near === undefined ? {} : { locality: near }),
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -1,7 +1,7 @@
 import {
   EventSplitter,
   expectedUse,
-  recordColdSend,
+  recordSend,
   recordFirstEvent,
   type FleetMember,
   type OwnRun,
@@ -93,7 +93,7 @@
       hasBegun: false,
       isBackup: false,
     };
-    recordColdSend(member, sentAtMs);
+    recordSend(member, sentAtMs);
     context.recordOf(call.service.name).placements.record(sentAtMs);
     member.ownRuns.set(runKey, run);
     backup?.ownRuns.set(backupKey, { ...run, promptTokens: 0, isBackup: true });
@@ -169,6 +169,7 @@
       {
         onHead: (received) => {
           head = received;
+          context.statedLimits.onResponse(member, received, sentAtMs);
           if (!closed && isStreamResponse(received)) {
             handlers.onAccepted(received);
           }
--- a/packages/gateway/src/upstream-client.ts
+++ b/packages/gateway/src/upstream-client.ts
@@ -42,6 +42,8 @@
   /** Whether the upstream closes the connection after this response. */
   readonly closesConnection: boolean;
   readonly load?: ServiceLoad;
+  /** Requests per second that the upstream takes from all nodes together, if it states a limit. */
+  readonly requestsPerSecond?: number;
 }
 
 export interface ExchangeFailure {
--- a/packages/serving/src/fleet.ts
+++ b/packages/serving/src/fleet.ts
@@ -1,3 +1,5 @@
+import { recordColdSend } from './cold-limit.js';
+import { StatedLimit } from './stated-limit.js';
 import type { EngineLoad, ServiceLoad, Upstream } from './upstream.js';
 
 /** A request that this node has in flight at an upstream, or a backup copy of one. */
@@ -37,6 +39,8 @@
   coldUntilMs: number;
   /** Times of the requests that this node sent within the last second to the cold upstream. */
   readonly coldSends: number[];
+  /** The requests per second that the upstream states it takes, and what this node has used. */
+  readonly statedLimit: StatedLimit;
   /** Set when the upstream reports that it is leaving, or its registration says so or is gone. */
   leaving: boolean;
   /** When the registration disappeared; the upstream still serves for a short time after that. */
@@ -77,6 +81,7 @@
   avoidUntilMs: 0,
   coldUntilMs: nowMs + upstream.coldLeftMs,
   coldSends: [],
+  statedLimit: StatedLimit.create(),
   leaving: upstream.state === 'draining',
 });
 
@@ -151,6 +156,12 @@
   },
 };
 
+/** Records a request that this node sends, for the limits on the rate of requests. */
+export const recordSend = (member: FleetMember, nowMs: number): void => {
+  recordColdSend(member, nowMs);
+  member.statedLimit.recordSend(nowMs);
+};
+
 /** Updates the smoothed latency and failure share with one response. */
 export const recordAnswer = (member: FleetMember, latencyMs: number, failed: boolean): void => {
   member.failureShare += newestAnswerWeight * ((failed ? 1 : 0) - member.failureShare);
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -12,6 +12,7 @@
 export * from './retry-after-schedule.js';
 export * from './rollout.js';
 export * from './route-table.js';
+export * from './stated-limit.js';
 export * from './stated-timeouts.js';
 export * from './topology.js';
 export * from './stream-recovery.js';
