Order store changes over restores from an older copy

Callers got 404 on routes that an operator had added after the store had come back from an older copy, and requests ran by an older configuration, until the store's revisions had passed those from before.

Cause: revisions were compared over the restore, though the store gives the lost numbers out again. Nodes ignored every change that counted as older.

The first watch after an outage returns at once, and a reply of a new era ends watches that wait at a number of the lost history.

Taking the copy as it is would do harm: upstreams that had left and data centres that are withdrawn would get requests. So an entry in which the copy differs is held until its owner had time to write it again or to lapse, and the nodes' own entries are written back.

Ruled out: lost watches (all nodes listed the store at 17.3 s) and an older configuration that is taken (no route went missing).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import type { Server } from 'node:http';
 import { Random, type Clock } from '@zinniagrade/clock';
-import { isBelowColdLimit, type FleetMember, type Route } from '@zinniagrade/serving';
+import { isBelowColdLimit, quarantineMs, type FleetMember, type Route } from '@zinniagrade/serving';
 import type { ServingContext } from './call.js';
 import { chooseAddresses, createDirectoryServer } from './directory.js';
 import { CallerServer } from './caller-server.js';
@@ -9,6 +9,7 @@
 import { createLinkSecret, maxSecretDelayMs } from './link-secret.js';
 import { LoadPolling } from './load-polling.js';
 import type { Log } from './log.js';
+import { LostEntries } from './lost-entries.js';
 import { MemoryLimits } from './memory-limits.js';
 import { createMetricsServer, Metrics } from './metrics.js';
 import { NodePeers } from './node-peers.js';
@@ -17,6 +18,7 @@
 import type { Platform } from './platform.js';
 import { QuarantineEntries } from './quarantine-entries.js';
 import { Registration } from './registration.js';
+import { decideRestoredEntry } from './restored-entry.js';
 import { Rollouts } from './rollouts.js';
 import { serveCall } from './serve-call.js';
 import { ServiceRecords } from './service-records.js';
@@ -95,10 +97,30 @@
       removeEntry: quarantineEntries.remove,
     });
 
+    const lostEntries = LostEntries.create(log, async ({ key, value, restoredRevision }) => {
+      const change = platform.decodeChange(key, value);
+      if (change.kind === 'prompt-quarantine') {
+        return (await quarantineEntries.write(change.part, quarantineMs)) ? 'done' : 'conflict';
+      }
+      const { outcome } = await store.commit({
+        expected: new Map([[key, restoredRevision]]),
+        writes: [{ key, value }],
+        removals: [],
+      });
+      return outcome;
+    });
+
     const mirror: StoreMirror = StoreMirror.create(store, clock, log, {
       prefix: platform.prefix,
       delaysRemovalAfterOutage: platform.delaysRemovalAfterOutage,
       reregistrationWindowMs: settings.reregistrationWindowMs,
+      restoredEntryLapseMs: settings.restoredEntryLapseMs,
+      decideRestoredEntry: (key, known, restored) =>
+        decideRestoredEntry(
+          platform.decodeChange(key, known),
+          platform.decodeChange(key, restored),
+        ),
+      onEntryLost: lostEntries.add,
       onChange: (key, value, revision) => {
         cluster.apply(platform.decodeChange(key, value), revision, clock.monotonicMs());
       },
@@ -249,6 +271,7 @@
       limitConnections(context);
       cluster.fleet.sweep();
       prompts.sweep();
+      lostEntries.sweep();
       closeUnusedConnections(context);
     };
     clock.after(maxSecretDelayMs * random(), sweep);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,7 +2,7 @@
 export * from './gateway.js';
 export * from './line-output.js';
 export * from './log.js';
-export type * from './metadata-store.js';
+export * from './metadata-store.js';
 export type * from './platform.js';
 export type * from './settings.js';
 export type * from './upstream-client.js';
--- a/packages/gateway/src/metadata-store.ts
+++ b/packages/gateway/src/metadata-store.ts
@@ -1,9 +1,24 @@
 import type { Failure } from '@zinniagrade/errors';
 import type { Either } from 'purify-ts';
 
-/** Position in the total order of the store's changes; 0 means that a key doesn't exist. */
+/**
+ * Position in the total order of the store's changes; 0 means that a key doesn't exist. The era
+ * counts how often the store was restored from an older copy, after which it gives out the numbers
+ * of lost changes again. Positions of a later era are greater, whatever their number.
+ */
 export type Revision = number;
 
+/** Numbers of changes within one era are below this; positions stay exact as floating point. */
+const changesPerEra = 2 ** 32;
+
+export const Revision = {
+  create: (era: number, change: number): Revision =>
+    change === 0 ? 0 : era * changesPerEra + change,
+  eraOf: (revision: Revision): number => Math.floor(revision / changesPerEra),
+  /** The number that the store gave the change. */
+  changeOf: (revision: Revision): number => revision % changesPerEra,
+};
+
 export interface StoredItem {
   readonly key: string;
   readonly value: Buffer;
@@ -24,7 +39,10 @@
   readonly revision: Revision;
 }
 
-/** `history-lost`: the store no longer has all changes since the given revision. */
+/**
+ * `history-lost`: the store no longer has all changes since the given revision, or was restored from
+ * an older copy.
+ */
 export type WatchOutcome =
   | {
       readonly outcome: 'events';
--- a/packages/gateway/src/mirror-items.ts
+++ b/packages/gateway/src/mirror-items.ts
@@ -1,4 +1,4 @@
-import type { Revision } from './metadata-store.js';
+import { Revision } from './metadata-store.js';
 import type { RelayedChange } from './node-message.js';
 
 /**
@@ -6,15 +6,24 @@
  * repeated and out of order: a change is applied only if its revision is above that of its key.
  */
 export interface MirrorItems {
-  /** False if the known state of the key is as new or newer. */
-  readonly set: (key: string, value: Buffer, revision: Revision) => boolean;
+  readonly set: (key: string, value: Buffer, revision: Revision) => SetOutcome;
   /** False if the key is unknown or its known state is as new or newer. */
   readonly remove: (key: string, revision: Revision) => boolean;
   readonly keys: () => readonly string[];
+  /** The known value of a key; undefined if there is none. */
+  readonly valueOf: (key: string) => Buffer | undefined;
+  /** Revision of the last known change or removal of a key; 0 if it was never known. */
+  readonly revisionOf: (key: string) => Revision;
   /** Values and removals after a revision, for a node that doesn't get them from the store. */
   readonly changesAfter: (revision: Revision) => readonly RelayedChange[];
 }
 
+/**
+ * `old`: the known state of the key is as new or newer. `confirmed`: a restored store has the same
+ * value under a new revision.
+ */
+export type SetOutcome = 'changed' | 'confirmed' | 'old';
+
 interface Item {
   readonly value: Buffer;
   readonly revision: Revision;
@@ -44,12 +53,15 @@
 
     return {
       set: (key, value, revision) => {
-        if (revision <= lastRevision(key)) {
-          return false;
+        const before = lastRevision(key);
+        if (revision <= before) {
+          return 'old';
         }
+        const isRestored = Revision.eraOf(revision) > Revision.eraOf(before);
+        const isSame = items.get(key)?.value.equals(value) === true;
         items.set(key, { value, revision });
         removals.delete(key);
-        return true;
+        return isRestored && isSame ? 'confirmed' : 'changed';
       },
       remove: (key, revision) => {
         if (revision <= lastRevision(key)) {
@@ -59,6 +71,8 @@
         return items.delete(key);
       },
       keys: () => [...items.keys()],
+      valueOf: (key) => items.get(key)?.value,
+      revisionOf: lastRevision,
       changesAfter: (revision) => {
         const changes: RelayedChange[] = [];
         for (const [key, item] of items) {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -24,6 +24,11 @@
   readonly nodeLeaseMs: number;
   /** Time after a store outage within which expired registrations are written again. */
   readonly reregistrationWindowMs: number;
+  /**
+   * Time after which the store has removed registrations that a restore brought back, if nobody
+   * renews them.
+   */
+  readonly restoredEntryLapseMs: number;
   readonly retries: {
     readonly ratio: number;
     readonly extra: number;
--- a/packages/gateway/src/store-mirror.test.ts
+++ b/packages/gateway/src/store-mirror.test.ts
@@ -53,6 +53,9 @@
     },
     delaysRemovalAfterOutage: () => false,
     reregistrationWindowMs: 2300,
+    restoredEntryLapseMs: 6000,
+    decideRestoredEntry: () => 'apply',
+    onEntryLost: () => undefined,
     onStoreUnavailable: () => undefined,
     watchesStore: () => watchesStore,
     onStoreChanges: (items) => {
--- a/packages/gateway/src/store-mirror.ts
+++ b/packages/gateway/src/store-mirror.ts
@@ -1,8 +1,11 @@
 import type { Clock } from '@zinniagrade/clock';
 import type { Log } from './log.js';
-import type { MetadataStore, Revision } from './metadata-store.js';
+import { HeldChanges } from './held-changes.js';
+import type { LostEntry } from './lost-entries.js';
+import { Revision, type MetadataStore } from './metadata-store.js';
 import { MirrorItems } from './mirror-items.js';
 import type { RelayedChange, StoreAccess } from './node-message.js';
+import type { RestoredEntryDecision } from './restored-entry.js';
 
 /** Prefix to mirror, and callbacks. */
 export interface MirrorOptions {
@@ -16,6 +19,19 @@
   readonly delaysRemovalAfterOutage: (key: string) => boolean;
   /** Delay of such removals, counted from the end of the outage. */
   readonly reregistrationWindowMs: number;
+  /** Decides on an entry that a restored store has in another state; undefined means no entry. */
+  readonly decideRestoredEntry: (
+    key: string,
+    known: Buffer | undefined,
+    restored: Buffer | undefined,
+  ) => RestoredEntryDecision;
+  /**
+   * Time after which the store has removed entries that it brought back from its copy, if nobody
+   * renews them.
+   */
+  readonly restoredEntryLapseMs: number;
+  /** Called for an entry that is kept though the restored store has none, or an older one. */
+  readonly onEntryLost: (entry: LostEntry) => void;
   /** Called after each failed request to the store. */
   readonly onStoreUnavailable: () => void;
   /** Whether this node watches the store itself; otherwise it gets changes from other nodes. */
@@ -49,13 +65,14 @@
 const watchTimeoutMs = 3000;
 const initialRetryDelayMs = 100;
 const maxRetryDelayMs = 800;
+/** After an outage a watch returns at once, as its reply tells whether the store was restored. */
+const firstWatchTimeoutMs = 1;
 /** Interval at which a node that doesn't watch the store checks whether it should. */
 const relayCheckIntervalMs = 300;
 
 export const StoreMirror = {
   create: (store: MetadataStore, clock: Clock, log: Log, options: MirrorOptions): StoreMirror => {
     const mirrored = MirrorItems.create();
-    const delayedRemovals = new Map<string, Revision>();
     let watchRevision: Revision | undefined;
     let knownRevision: Revision = 0;
     let complete = false;
@@ -78,16 +95,18 @@
      * Returns whether the change was newer than the known state, as do `remove` and `applyRemoval`.
      */
     const applyValue = (key: string, value: Buffer, revision: Revision): boolean => {
-      delayedRemovals.delete(key);
-      const isNew = mirrored.set(key, value, revision);
-      if (isNew) {
+      const outcome = mirrored.set(key, value, revision);
+      if (outcome !== 'old') {
+        held.cancel(key);
+      }
+      if (outcome === 'changed') {
         notify(key, value, revision);
       }
-      return isNew;
+      return outcome !== 'old';
     };
 
     const remove = (key: string, revision: Revision): boolean => {
-      delayedRemovals.delete(key);
+      held.cancel(key);
       const isNew = mirrored.remove(key, revision);
       if (isNew) {
         notify(key, undefined, revision);
@@ -95,21 +114,19 @@
       return isNew;
     };
 
-    const applyDelayedRemovals = (): void => {
-      const removed: RelayedChange[] = [];
-      for (const [key, revision] of delayedRemovals) {
-        log.event('registration not renewed after store outage', { key, revision });
-        if (remove(key, revision)) {
-          removed.push({ key, revision });
-        }
+    const held = HeldChanges.create(clock, (change) => {
+      const { key, value, revision } = change;
+      log.event('held store change applied', { key, revision, removed: value === undefined });
+      const isNew = value === undefined ? remove(key, revision) : applyValue(key, value, revision);
+      if (isNew) {
+        options.onStoreChanges([change], knownRevision);
       }
-      options.onStoreChanges(removed, knownRevision);
-    };
+    });
 
     const applyRemoval = (key: string, revision: Revision): boolean => {
       const waitMs = availableAgainAtMs + options.reregistrationWindowMs - clock.monotonicMs();
       if (waitMs > 0 && options.delaysRemovalAfterOutage(key)) {
-        delayedRemovals.set(key, revision);
+        held.hold({ key, revision }, waitMs);
         return false;
       }
       return remove(key, revision);
@@ -131,7 +148,6 @@
         awayMs: Math.round(availableAgainAtMs - unavailableSinceMs),
       });
       unavailableSinceMs = undefined;
-      clock.after(options.reregistrationWindowMs, applyDelayedRemovals);
     };
 
     const backOffUnavailable = async (reason: string): Promise<void> => {
@@ -151,6 +167,37 @@
       knownRevision = Math.max(knownRevision, revision);
     };
 
+    /**
+     * Replaces or holds the entries that a restored store has in another state than this node knows.
+     * Returns those to be applied.
+     */
+    const settleRestored = (changes: readonly RelayedChange[]): readonly RelayedChange[] => {
+      const settled: RelayedChange[] = [];
+      for (const change of changes) {
+        const { key, value, revision } = change;
+        const knownSince = mirrored.revisionOf(key);
+        const known = mirrored.valueOf(key);
+        const isFromCopy = knownSince > 0 && Revision.eraOf(revision) > Revision.eraOf(knownSince);
+        const isSame = value === undefined ? known === undefined : known?.equals(value) === true;
+        const decision =
+          !isFromCopy || isSame ? 'apply' : options.decideRestoredEntry(key, known, value);
+        if (decision !== 'apply') {
+          log.event('restored store entry differs', { key, revision, knownSince, decision });
+        }
+        if (decision === 'apply') {
+          settled.push(change);
+        } else if (decision === 'keep' && known !== undefined) {
+          settled.push({ key, value: known, revision });
+          const restoredRevision = value === undefined ? 0 : revision;
+          options.onEntryLost({ key, value: known, restoredRevision });
+        } else {
+          const lapseMs = options.restoredEntryLapseMs;
+          held.hold(change, value === undefined ? options.reregistrationWindowMs : lapseMs);
+        }
+      }
+      return settled;
+    };
+
     const listAll = async (): Promise<void> => {
       const listing = await store.list(options.prefix);
       if (listing.isLeft()) {
@@ -164,7 +211,10 @@
         .keys()
         .filter((key) => !presentKeys.has(key))
         .map((key) => ({ key, revision }));
-      const newChanges = applyAll([...items, ...removals]);
+      if (complete && Revision.eraOf(revision) > Revision.eraOf(knownRevision)) {
+        log.event('store restored', { revision, before: knownRevision });
+      }
+      const newChanges = applyAll(settleRestored([...items, ...removals]));
       advanceTo(revision);
       if (complete) {
         options.onStoreChanges(newChanges, revision);
@@ -173,7 +223,9 @@
     };
 
     const watchFrom = async (after: Revision): Promise<void> => {
-      const outcome = await store.watch(options.prefix, after, watchTimeoutMs);
+      const isFirst = unavailableSinceMs !== undefined;
+      const waitMs = isFirst ? firstWatchTimeoutMs : watchTimeoutMs;
+      const outcome = await store.watch(options.prefix, after, waitMs);
       switch (outcome.outcome) {
         case 'events':
           recordAvailable();
