--- a/packages/gateway/src/store-mirror.ts
+++ b/packages/gateway/src/store-mirror.ts
@@ -167,33 +167,37 @@
       knownRevision = Math.max(knownRevision, revision);
     };
 
-    /**
-     * Replaces or holds the entries that a restored store has in another state than this node knows.
-     * Returns those to be applied.
-     */
-    const settleRestored = (changes: readonly RelayedChange[]): readonly RelayedChange[] => {
+    /** Entries of another era than the known one may come from the copy of a restored store. */
+    const decideListed = ({ key, value, revision }: RelayedChange): RestoredEntryDecision => {
+      const knownRevisionOfKey = mirrored.revisionOf(key);
+      const known = mirrored.valueOf(key);
+      const isSame = value === undefined ? known === undefined : known?.equals(value) === true;
+      const isOtherEra = Revision.eraOf(revision) > Revision.eraOf(knownRevisionOfKey);
+      return knownRevisionOfKey === 0 || isSame || !isOtherEra
+        ? 'apply'
+        : options.decideRestoredEntry(key, known, value);
+    };
+
+    /** Returns the listed changes to apply; holds or replaces those that come from an older copy. */
+    const settleListed = (changes: readonly RelayedChange[]): readonly RelayedChange[] => {
       const settled: RelayedChange[] = [];
       for (const change of changes) {
         const { key, value, revision } = change;
-        const knownSince = mirrored.revisionOf(key);
-        const known = mirrored.valueOf(key);
-        const isFromCopy = knownSince > 0 && Revision.eraOf(revision) > Revision.eraOf(knownSince);
-        const isSame = value === undefined ? known === undefined : known?.equals(value) === true;
-        const decision =
-          !isFromCopy || isSame ? 'apply' : options.decideRestoredEntry(key, known, value);
-        if (decision !== 'apply') {
-          log.event('restored store entry differs', { key, revision, knownSince, decision });
-        }
+        const decision = decideListed(change);
         if (decision === 'apply') {
           settled.push(change);
-        } else if (decision === 'keep' && known !== undefined) {
+          continue;
+        }
+        log.event('restored store entry differs', { key, revision, decision });
+        const known = mirrored.valueOf(key);
+        if (decision === 'keep' && known !== undefined) {
           settled.push({ key, value: known, revision });
           const restoredRevision = value === undefined ? 0 : revision;
           options.onEntryLost({ key, value: known, restoredRevision });
-        } else {
-          const lapseMs = options.restoredEntryLapseMs;
-          held.hold(change, value === undefined ? options.reregistrationWindowMs : lapseMs);
+          continue;
         }
+        const { reregistrationWindowMs, restoredEntryLapseMs } = options;
+        held.hold(change, value === undefined ? reregistrationWindowMs : restoredEntryLapseMs);
       }
       return settled;
     };
@@ -214,7 +218,7 @@
       if (complete && Revision.eraOf(revision) > Revision.eraOf(knownRevision)) {
         log.event('store restored', { revision, before: knownRevision });
       }
-      const newChanges = applyAll(settleRestored([...items, ...removals]));
+      const newChanges = applyAll(settleListed([...items, ...removals]));
       advanceTo(revision);
       if (complete) {
         options.onStoreChanges(newChanges, revision);
