Log whether the end of a completed stream was told by its connection only

A completed stream's line didn't tell an end in chunks or of a stated length from the close of a connection, so a stream that a crash cut short could not be told from a whole one afterwards.

--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -116,7 +116,7 @@
       context.rollouts.recordOutcome(endedSegment.member, route.name, failed);
     };
 
-    const complete = (endedSegment: StreamSegment, rest: Buffer): void => {
+    const complete = (endedSegment: StreamSegment, rest: Buffer, head: ResponseHead): void => {
       const nowMs = clock.monotonicMs();
       recordOutcome(endedSegment, nowMs - endedSegment.sentAtMs, false);
       departures.recordStreamDuration(nowMs - call.arrivedAtMs);
@@ -127,6 +127,7 @@
         upstream: endedSegment.member.upstream.id,
         events: progress.events(),
         continuations,
+        endsWithConnection: head.endsWithConnection,
         ...progress.summary(),
         firstEventGoalMs: route.goalMs,
         gapGoalMs: route.gapGoalMs,
@@ -277,8 +278,8 @@
           onWritten: () => {
             context.prompts.onSound(request);
           },
-          onComplete: (rest) => {
-            complete(newSegment, rest);
+          onComplete: (rest, head) => {
+            complete(newSegment, rest, head);
           },
           onOtherResponse: (head, body) => {
             onOtherResponse(newSegment, head, body);
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -33,7 +33,7 @@
   /** The engine has written for a while, or to the end: the prompt does it no harm. */
   readonly onWritten: () => void;
   /** The stream is complete; called with the line ends and spaces after its last event. */
-  readonly onComplete: (rest: Buffer) => void;
+  readonly onComplete: (rest: Buffer, head: ResponseHead) => void;
   /** A complete response other than a stream. */
   readonly onOtherResponse: (head: ResponseHead, body: Buffer) => void;
   readonly onFailure: (failure: ExchangeFailure) => void;
@@ -219,7 +219,7 @@
             if (!head.endsWithConnection) {
               markWritten();
             }
-            handlers.onComplete(splitter.remainder());
+            handlers.onComplete(splitter.remainder(), head);
           }
         },
         onFailure: (failure) => {
