Take a continued stream for complete only with the event that was cut

Callers got a truncated stream as complete: one engine was lost inside an event, the stream went on at a second engine, and that one ended its response without an event.

Cause: whether a response may end without an event was asked of each engine by itself. Any stream that went on was allowed to, as if all events could have been sent already, though part of the next one had arrived. Without a length, an engine that crashes ends its response in the same way.

Now part of an event that an engine has sent is owed until a whole event with a new id arrives, wherever the stream goes on; and a response without a length and without an event is complete only if the caller itself resumed the stream and no engine was lost since.

Ruled out: that whole streams are now broken off when their caller resumes them after the last event (tested); an end in chunks or of a stated length after whole events still counts as complete. Weighed: a stream whose engine is lost after its last event and before its end is broken off if the next engine closes its connection without an event. Nothing tells it from a crash.

--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -246,6 +246,9 @@
     };
 
     const startSegment = (member: FleetMember, copy?: RunCopy): void => {
+      if (segment?.endsInsideEvent() === true) {
+        progress.recordPartialEvent();
+      }
       const backup = engine.supportsBackups
         ? placement.placeCopy(
             new Set([member.upstream.id]),
@@ -261,6 +264,7 @@
           backup,
           copy,
           afterEvent: progress.lastEventId(),
+          mayBeEmpty: call.resumeAfter !== undefined && continuations === 0 && !mayHaveRun,
           tokensPerEvent: engine.tokensPerEvent,
           promptTokens: placement.promptTokens,
           expectedTokens: placement.expectedTokens(progress.events()),
@@ -279,7 +283,12 @@
             context.prompts.onSound(request);
           },
           onComplete: (rest, head) => {
-            complete(newSegment, rest, head);
+            if (progress.awaitsEvent()) {
+              const reason = 'the stream ended without the event that another engine had begun';
+              onFailure(newSegment, { possiblySent: true, reason });
+            } else {
+              complete(newSegment, rest, head);
+            }
           },
           onOtherResponse: (head, body) => {
             onOtherResponse(newSegment, head, body);
--- a/packages/gateway/src/stream-progress.ts
+++ b/packages/gateway/src/stream-progress.ts
@@ -11,6 +11,10 @@
   readonly lastEventId: () => string | undefined;
   /** When the caller got its last event, or sent the request. */
   readonly lastEventAtMs: () => number;
+  /** Records that an engine was lost within an event, so that another one has to send it. */
+  readonly recordPartialEvent: () => void;
+  /** Whether an event that an engine had begun has not arrived since. */
+  readonly awaitsEvent: () => boolean;
   /** Records that the stream continues at another engine, to measure the pause. */
   readonly recordMove: () => void;
   /** Time to the first event and longest gap between events, in whole milliseconds. */
@@ -26,6 +30,7 @@
     let lastEventAtMs = call.arrivedAtMs;
     let longestGapMs = 0;
     let movedAtMs: number | undefined;
+    let awaitsEvent = false;
 
     const recordEventTime = (): void => {
       const nowMs = clock.monotonicMs();
@@ -53,6 +58,7 @@
             return false;
           }
           lastEventId = id;
+          awaitsEvent = false;
         }
         recordEventTime();
         events += 1;
@@ -61,6 +67,10 @@
       events: () => events,
       lastEventId: () => lastEventId,
       lastEventAtMs: () => lastEventAtMs,
+      recordPartialEvent: () => {
+        awaitsEvent = true;
+      },
+      awaitsEvent: () => awaitsEvent,
       recordMove: () => {
         movedAtMs ??= lastEventAtMs;
       },
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -20,6 +20,8 @@
   readonly copy: RunCopy | undefined;
   /** Id of the last event that the caller has; undefined for the start of the stream. */
   readonly afterEvent: string | undefined;
+  /** Whether the stream may be complete without another event, as the caller may have all. */
+  readonly mayBeEmpty: boolean;
   readonly tokensPerEvent: number;
   readonly promptTokens: number;
   /** Expected memory at the end of the stream, in tokens. */
@@ -49,6 +51,8 @@
   readonly firstEventAtMs: () => number | undefined;
   /** Whether `onWritten` was called. */
   readonly hasWritten: () => boolean;
+  /** Whether the engine has sent part of an event that it has not completed. */
+  readonly endsInsideEvent: () => boolean;
   readonly isClosed: () => boolean;
   /** Closes the connection, which stops the run. No handler is called afterwards. */
   readonly close: () => void;
@@ -70,7 +74,6 @@
   ): StreamSegment => {
     const { clock } = context;
     const { member, backup, copy, afterEvent } = options;
-    const isResumed = copy !== undefined || afterEvent !== undefined;
     const runKey = call.request.id;
     const backupKey = `${runKey}#backup`;
     const sentAtMs = clock.monotonicMs();
@@ -212,7 +215,11 @@
           } else if (splitter.endsInsideEvent()) {
             // A complete response may still hold a truncated stream: a failing engine can end it in order.
             handlers.onFailure({ possiblySent: true, reason: 'the stream ended inside an event' });
-          } else if (head.endsWithConnection && firstEventAtMs === undefined && !isResumed) {
+          } else if (
+            head.endsWithConnection &&
+            firstEventAtMs === undefined &&
+            !options.mayBeEmpty
+          ) {
             // An engine that crashes may close its connections in order.
             handlers.onFailure({ possiblySent: true, reason: 'the stream ended without an event' });
           } else {
@@ -237,6 +244,7 @@
       isContinuation: copy !== undefined,
       firstEventAtMs: () => firstEventAtMs,
       hasWritten: () => written,
+      endsInsideEvent: splitter.endsInsideEvent,
       isClosed: () => closed,
       close: () => {
         if (release()) {
