Take a stream of a plain upstream that ends inside an event for broken off

Callers of a streaming route whose service has no engine settings got a truncated stream as a complete response. Cause: such a route is served like a plain request, whose response is complete when HTTP says so, and the events in it weren't looked at. The same class of fault as for engines: the end of the response was taken for the end of the stream.

The three tests 'answers with an error if a plain upstream ends a stream ...' (three ways to delimit the body) failed before, expected 200 to equal 502, and pass now, with a whole stream at the same route beside them. No deployment of ours is known to have such a route.

--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -1,5 +1,6 @@
 import { Failure } from '@zinniagrade/errors';
 import {
+  isTruncatedStream,
   recordSend,
   placeCall,
   recordAnswer,
@@ -151,6 +152,13 @@
       retryOrEnd(true);
       return;
     }
+    if (route.kind === 'streaming' && head.status === 200 && isTruncatedStream(body)) {
+      recordOutcome(member, latencyMs, true);
+      logAttempt('stream ended inside an event', member, head.status);
+      context.prompts.onEarlyLoss(request, member.upstream.id);
+      retryOrEnd(true);
+      return;
+    }
     const failed = head.status >= 500;
     recordOutcome(member, latencyMs, failed);
     if (failed && idempotent) {
--- a/packages/serving/src/event-splitter.ts
+++ b/packages/serving/src/event-splitter.ts
@@ -63,3 +63,10 @@
     };
   },
 };
+
+/** Whether a whole response that holds a stream of events ends inside one of them. */
+export const isTruncatedStream = (body: Buffer): boolean => {
+  const splitter = EventSplitter.create();
+  splitter.push(body);
+  return splitter.endsInsideEvent();
+};
