Log a fingerprint of requests that end without a complete response

Lines of lost attempts name neither path nor account, so it could not be told whether the requests under which upstreams end are the same one.

The function moves from packages/idempotency to packages/serving, where it takes any fields; calls of the older entry process use it with their JSON as the only one.

--- a/packages/entry/src/plain-calls.ts
+++ b/packages/entry/src/plain-calls.ts
@@ -8,7 +8,7 @@
   beginCall,
   claimKeyOf,
   claimTtlMs,
-  fingerprintOf,
+  callFingerprintOf,
   finishCall,
   dropExpired,
   lookUpCall,
@@ -225,7 +225,7 @@
       service,
       key,
       recordKey: JSON.stringify([clientAccount, idempotencyKey]),
-      fingerprint: fingerprintOf(request),
+      fingerprint: callFingerprintOf(request),
     }));
   };
 
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -58,6 +58,8 @@
   readonly route: Route;
   readonly service: Service;
   readonly account?: ClientAccount;
+  /** The same for all requests of a client account with this method, host, path and body. */
+  readonly fingerprint: string;
   /** Id of the event after which the caller resumes a stream; undefined for its start. */
   readonly resumeAfter?: string;
   /** Whether the request may be sent to an upstream of this version. */
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Failure } from '@zinniagrade/errors';
 import {
+  fingerprintOf,
   isValidEventId,
   type Configuration,
   type Engine,
@@ -75,6 +76,8 @@
       account: Call['account'],
       arrivedAtMs: number,
     ): Call => {
+      const { method, host, url } = request;
+      const fingerprint = fingerprintOf(account?.name ?? '', method, host, url, body);
       const listeners: (() => void)[] = [];
       let ended = false;
       metrics.addOpenRequests(1);
@@ -91,6 +94,7 @@
           configuration: cluster.configuration()?.version,
           outcome,
           detail,
+          fingerprint: outcome === 'complete' ? undefined : fingerprint,
           retryAfterMs,
           tookMs: Math.round(tookMs),
         });
@@ -111,6 +115,7 @@
         route,
         service,
         ...(account === undefined ? {} : { account }),
+        fingerprint,
         ...(route.resumable && request.lastEventId !== undefined
           ? { resumeAfter: request.lastEventId }
           : {}),
--- a/packages/idempotency/src/fingerprint.ts
+++ b/packages/idempotency/src/fingerprint.ts
@@ -1,4 +1,4 @@
-import { createHash } from 'node:crypto';
+import { fingerprintOf } from '@zinniagrade/serving';
 import type { ServiceId } from '@zinniagrade/types';
 
 /** The content of a call, which must be the same whenever its key is used again. */
@@ -13,8 +13,10 @@
     ? Object.fromEntries(Object.entries(value).sort(([a], [b]) => (a < b ? -1 : 1)))
     : value;
 
-/** SHA-256 of the content of a call, independent of the order of object keys. */
-export const fingerprintOf = ({ service, operation, arguments: callArguments }: CallBody): string =>
-  createHash('sha256')
-    .update(JSON.stringify([service, operation, callArguments ?? null], sortKeys))
-    .digest('base64url');
+/** Fingerprint of the content of a call, independent of the order of object keys. */
+export const callFingerprintOf = ({
+  service,
+  operation,
+  arguments: callArguments,
+}: CallBody): string =>
+  fingerprintOf(JSON.stringify([service, operation, callArguments ?? null], sortKeys));
--- a/packages/idempotency/src/record-table.test.ts
+++ b/packages/idempotency/src/record-table.test.ts
@@ -1,6 +1,6 @@
 import { Failure } from '@zinniagrade/errors';
 import { expect } from 'chai';
-import { fingerprintOf } from './fingerprint.js';
+import { callFingerprintOf } from './fingerprint.js';
 import { RecordTable, beginCall, dropExpired, finishCall } from './record-table.js';
 
 const ok = { ok: true, result: 1 } as const;
@@ -63,11 +63,11 @@
 describe('fingerprint', () => {
   it('depends on every value but not on the order of keys', () => {
     const body = { service: 's', operation: 'o' };
-    const fingerprint = fingerprintOf({ ...body, arguments: { a: 1, b: { c: 2, d: 3 } } });
-    expect(fingerprintOf({ ...body, arguments: { b: { d: 3, c: 2 }, a: 1 } })).to.equal(
+    const fingerprint = callFingerprintOf({ ...body, arguments: { a: 1, b: { c: 2, d: 3 } } });
+    expect(callFingerprintOf({ ...body, arguments: { b: { d: 3, c: 2 }, a: 1 } })).to.equal(
       fingerprint,
     );
-    expect(fingerprintOf({ ...body, arguments: { b: { d: 3, c: 4 }, a: 1 } })).to.not.equal(
+    expect(callFingerprintOf({ ...body, arguments: { b: { d: 3, c: 4 }, a: 1 } })).to.not.equal(
       fingerprint,
     );
   });
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -3,6 +3,7 @@
 export type * from './configuration.js';
 export * from './departures.js';
 export * from './event-splitter.js';
+export * from './fingerprint.js';
 export * from './fleet.js';
 export * from './peer-use.js';
 export * from './placement.js';
