Keep requests that crash upstreams away from them at all nodes

Callers saw order services that ended every few seconds: a request that crashes each upstream which begins it came again at any node, and each node sent it on, up to twice.

Cause: crashes were kept only by the parts of a prompt, and plain requests and streams without parts have none. The class: a request that fails deterministically is routed and repeated like one that failed by chance.

Now the quarantine keeps losses by keys, and a fingerprint of account, method, host, path, prompt and body is one more key of it. Losses of one upstream are one crash unless the request was sent there after the crash before, so an upstream that is back under its old id counts. Two things keep sound requests in use: upstreams that fail together while a request is in flight at all of them count once, and one other node alone is not believed, nor does such a node write an entry to the store. A key that was proven in the last minute is never blamed. What a node keeps of losses is bounded by key now, so a key isn't pushed out by losses of single requests.

Ruled out: that the fingerprint explains away crashes of a part of prompts, as it would take more of them to find the part; each is judged by itself. A response over the size limit is no crash and proves the request sound. Log lines: 'prompt part ...' are now 'quarantine ...'.

--- a/packages/errors/src/error-responses.ts
+++ b/packages/errors/src/error-responses.ts
@@ -78,6 +78,7 @@
   'upstream-unreachable': notRun(503, grpc.unavailable, true, 'The upstream was not reached'),
   'upstream-refused': notRun(503, grpc.unavailable, true, 'The upstream refused before any work'),
   'prompt-quarantined': notRun(503, grpc.unavailable, true, 'Engines were lost on such prompts'),
+  'request-quarantined': notRun(503, grpc.unavailable, true, 'Upstreams were lost on this request'),
   'upstream-failed': mayHaveRun(502, grpc.unknown, 'The upstream failed'),
   'upstream-timeout': mayHaveRun(504, grpc.deadlineExceeded, 'The upstream did not answer in time'),
   'outcome-unknown': mayHaveRun(502, grpc.unknown, 'Whether the request ran is not known'),
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -6,7 +6,7 @@
 import type { Log } from './log.js';
 import type { MemoryLimits } from './memory-limits.js';
 import type { Metrics } from './metrics.js';
-import type { PromptGuard } from './prompt-guard.js';
+import type { RequestGuard } from './request-guard.js';
 import type { Rollouts } from './rollouts.js';
 import type { ServiceRecord } from './service-records.js';
 import type { StatedLimits } from './stated-limits.js';
@@ -33,8 +33,8 @@
   readonly statedLimits: StatedLimits;
   /** Shifts of services' traffic to other versions. */
   readonly rollouts: Rollouts;
-  /** Prompts that crash engines. */
-  readonly prompts: PromptGuard;
+  /** Requests that crash upstreams. */
+  readonly guard: RequestGuard;
   /** Requests and memory that other nodes use at an upstream. */
   readonly peerUse: (upstream: string) => UpstreamUse;
   /** Placements of a service by other nodes that this node does not know of yet. */
@@ -58,7 +58,7 @@
   readonly route: Route;
   readonly service: Service;
   readonly account?: ClientAccount;
-  /** The same for all requests of a client account with this method, host, path and body. */
+  /** The same for all requests of a client account with this method, host, path, prompt and body. */
   readonly fingerprint: string;
   /** Id of the event after which the caller resumes a stream; undefined for its start. */
   readonly resumeAfter?: string;
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -76,8 +76,9 @@
       account: Call['account'],
       arrivedAtMs: number,
     ): Call => {
-      const { method, host, url } = request;
-      const fingerprint = fingerprintOf(account?.name ?? '', method, host, url, body);
+      const { method, host, url, promptParts } = request;
+      const prompt = promptParts.join();
+      const fingerprint = fingerprintOf(account?.name ?? '', method, host, url, prompt, body);
       const listeners: (() => void)[] = [];
       let ended = false;
       metrics.addOpenRequests(1);
--- a/packages/gateway/src/cluster-state.ts
+++ b/packages/gateway/src/cluster-state.ts
@@ -46,8 +46,9 @@
       readonly status: RolloutStatus | undefined;
     }
   | {
-      readonly kind: 'prompt-quarantine';
-      readonly part: string;
+      readonly kind: 'quarantine';
+      /** Part of prompts, or a request. */
+      readonly key: string;
       readonly isQuarantined: boolean;
     }
   | { readonly kind: 'link-secret'; readonly secret: string }
@@ -195,7 +196,7 @@
         case 'link-secret':
           linkSecret = change.secret;
           break;
-        case 'prompt-quarantine':
+        case 'quarantine':
           break;
         case 'unreadable':
           log.event('store entry unreadable', { reason: change.reason, revision });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,12 +13,12 @@
 import { MemoryLimits } from './memory-limits.js';
 import { createMetricsServer, Metrics } from './metrics.js';
 import { NodePeers } from './node-peers.js';
-import { PromptGuard } from './prompt-guard.js';
 import { OpenStream } from './open-stream.js';
 import type { Platform } from './platform.js';
 import { QuarantineEntries } from './quarantine-entries.js';
 import { Registration } from './registration.js';
 import { decideRestoredEntry } from './restored-entry.js';
+import { RequestGuard } from './request-guard.js';
 import { Rollouts } from './rollouts.js';
 import { serveCall } from './serve-call.js';
 import { ServiceRecords } from './service-records.js';
@@ -73,9 +73,9 @@
         rollouts.receiveReport(node, service, report);
       },
       onFinding: (finding) => {
-        prompts.receive(finding);
+        guard.receive(finding);
       },
-      findings: () => prompts.findings(),
+      findings: () => guard.findings(),
       onLimit: (finding) => {
         statedLimits.receive(finding);
       },
@@ -89,18 +89,20 @@
       share: peers.shareLimit,
     });
 
-    const quarantineEntries = QuarantineEntries.create(store, platform.promptQuarantineKey);
-    const prompts: PromptGuard = PromptGuard.create(clock, log, {
+    const quarantineEntries = QuarantineEntries.create(store, platform.quarantineEntryKey);
+    const guard: RequestGuard = RequestGuard.create(clock, log, {
+      node: settings.node,
+      aliveNodes: peers.aliveNodes,
       share: peers.shareFinding,
-      actsOnPart: peers.actsOn,
+      actsOnKey: peers.actsOn,
       writeEntry: quarantineEntries.write,
       removeEntry: quarantineEntries.remove,
     });
 
     const lostEntries = LostEntries.create(log, async ({ key, value, restoredRevision }) => {
       const change = platform.decodeChange(key, value);
-      if (change.kind === 'prompt-quarantine') {
-        return (await quarantineEntries.write(change.part, quarantineMs)) ? 'done' : 'conflict';
+      if (change.kind === 'quarantine') {
+        return (await quarantineEntries.write(change.key, quarantineMs)) ? 'done' : 'conflict';
       }
       const { outcome } = await store.commit({
         expected: new Map([[key, restoredRevision]]),
@@ -174,7 +176,7 @@
       isWithinRateLimits: (member) => isWithinColdStartLimit(member) && statedLimits.allows(member),
       statedLimits,
       rollouts,
-      prompts,
+      guard,
       peerUse: peers.peerUse,
       unknownPlacements: (service) =>
         serviceRecords
@@ -233,8 +235,8 @@
         case 'upstream':
           engineDrainer.scheduleCheck();
           return;
-        case 'prompt-quarantine':
-          prompts.applyStored(change.part, change.isQuarantined);
+        case 'quarantine':
+          guard.applyStored(change.key, change.isQuarantined);
           return;
         case 'link-secret':
           peers.open(change.secret);
@@ -270,7 +272,7 @@
       }
       limitConnections(context);
       cluster.fleet.sweep();
-      prompts.sweep();
+      guard.sweep();
       lostEntries.sweep();
       closeUnusedConnections(context);
     };
--- a/packages/gateway/src/node-message.test.ts
+++ b/packages/gateway/src/node-message.test.ts
@@ -24,8 +24,13 @@
   ],
   reports: [],
   findings: [
-    { node: 'n1', parts: ['a1', 'b2'], ageMs: 5, lostEngine: 'e' },
-    { node: 'n2', parts: ['a1'], ageMs: 0 },
+    {
+      node: 'n1',
+      keys: ['a1', 'b2'],
+      ageMs: 5,
+      loss: { upstream: 'e', witness: 'n2', tookMs: 7 },
+    },
+    { node: 'n2', keys: ['a1'], ageMs: 0 },
   ],
   limits: [
     { node: 'n1', upstream: 'e', perSecond: 2.5, ageMs: 4, earlierSends: 3 },
--- a/packages/gateway/src/node-message.ts
+++ b/packages/gateway/src/node-message.ts
@@ -1,6 +1,6 @@
 import type { EngineLoad, RolloutReport, UpstreamUse } from '@zinniagrade/serving';
 import { z } from 'zod';
-import type { PromptFinding } from './prompt-guard.js';
+import type { KeyFinding } from './request-guard.js';
 import type { LimitFinding } from './stated-limits.js';
 
 /**
@@ -45,8 +45,8 @@
   readonly report: RolloutReport;
 }
 
-/** What a node has seen of parts of a prompt. */
-export interface SharedFinding extends PromptFinding {
+/** What a node has seen of parts of a prompt, or of a whole request. */
+export interface SharedFinding extends KeyFinding {
   readonly node: string;
 }
 
@@ -205,13 +205,18 @@
 };
 
 const toFinding = (value: unknown): SharedFinding => {
-  const [node, parts, ageMs, lostEngine] = toRow(value);
-  return {
-    node: toText(node),
-    parts: toRow(parts).map(toText),
-    ageMs: toNumber(ageMs),
-    ...(lostEngine === null || lostEngine === undefined ? {} : { lostEngine: toText(lostEngine) }),
+  const [node, keys, ageMs, upstream, witness, tookMs] = toRow(value);
+  const finding = { node: toText(node), keys: toRow(keys).map(toText), ageMs: toNumber(ageMs) };
+  if (upstream === null || upstream === undefined) {
+    return finding;
+  }
+  // Nodes of an earlier version state neither the witness nor the duration.
+  const loss = {
+    upstream: toText(upstream),
+    witness: toText(witness ?? node),
+    tookMs: toNumber(tookMs ?? 0),
   };
+  return { ...finding, loss };
 };
 
 const toLimit = (value: unknown): SharedLimit => {
@@ -285,11 +290,11 @@
           load.leaving,
           load.leavesInMs ?? null,
         ]),
-        findings: message.findings.map(({ node, parts, ageMs, lostEngine }) => [
+        findings: message.findings.map(({ node, keys, ageMs, loss }) => [
           node,
-          parts,
+          keys,
           ageMs,
-          lostEngine ?? null,
+          ...(loss === undefined ? [null] : [loss.upstream, loss.witness, loss.tookMs]),
         ]),
         limits: message.limits.map(({ node, upstream, perSecond, ageMs, earlierSends }) => [
           node,
--- a/packages/gateway/src/node-peers.ts
+++ b/packages/gateway/src/node-peers.ts
@@ -14,7 +14,7 @@
 import type { Log } from './log.js';
 import { PeerBroadcast } from './peer-broadcast.js';
 import { NodeLinks } from './node-links.js';
-import type { PromptFinding } from './prompt-guard.js';
+import type { KeyFinding } from './request-guard.js';
 import type { LimitFinding } from './stated-limits.js';
 import type { NodeMessage, RelayedChange } from './node-message.js';
 import type { StoreMirror } from './store-mirror.js';
@@ -28,9 +28,9 @@
   /** Called with a load that another node has read, and the time of reading. */
   readonly onLoad: (upstream: string, load: EngineLoad, readAtMs: number) => void;
   readonly onReport: (node: string, service: string, report: RolloutReport) => void;
-  readonly onFinding: (finding: PromptFinding) => void;
-  /** Findings on prompts for a node that has none yet. */
-  readonly findings: () => readonly PromptFinding[];
+  readonly onFinding: (finding: KeyFinding) => void;
+  /** Findings on keys of requests for a node that has none yet. */
+  readonly findings: () => readonly KeyFinding[];
   readonly onLimit: (finding: LimitFinding) => void;
   /** Limits of upstreams for a node that has none yet. */
   readonly limits: () => readonly LimitFinding[];
@@ -49,7 +49,7 @@
   readonly announcementDelayMs: () => number;
   readonly shareLoad: (upstream: string, load: EngineLoad) => void;
   readonly shareReport: (service: string, report: RolloutReport) => void;
-  readonly shareFinding: (finding: PromptFinding) => void;
+  readonly shareFinding: (finding: KeyFinding) => void;
   readonly shareLimit: (finding: LimitFinding) => void;
   /**
    * Delay before this node acts on an event that all nodes learn of at once, so that nodes act in
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -159,8 +159,8 @@
     /** Lets a stream go on after its engine was lost, or ends it. */
     const recover = (reason: string): void => {
       mayHaveRun = true;
-      if (!context.prompts.allowsRepeat(request)) {
-        logStep('not repeated', segment?.member, 'engines were lost on parts of the prompt');
+      if (!context.guard.allowsRepeat(call)) {
+        logStep('not repeated', segment?.member, 'upstreams were lost on such requests');
         call.fail(Failure.create('generation-lost', reason));
         return;
       }
@@ -234,7 +234,8 @@
         failure.reason,
       );
       if (failure.possiblySent && !endedSegment.hasWritten()) {
-        context.prompts.onEarlyLoss(request, endedSegment.member.upstream.id);
+        const { member, sentAtMs } = endedSegment;
+        context.guard.onEarlyLoss(call, member.upstream.id, sentAtMs);
       }
       if (failure.possiblySent || endedSegment.isContinuation) {
         recover(failure.reason);
@@ -280,7 +281,7 @@
             forwardEvent(event);
           },
           onWritten: () => {
-            context.prompts.onSound(request);
+            context.guard.onSound(call);
           },
           onComplete: (rest, head) => {
             if (progress.awaitsEvent()) {
--- a/packages/gateway/src/peer-broadcast.ts
+++ b/packages/gateway/src/peer-broadcast.ts
@@ -5,7 +5,7 @@
   type UpstreamUse,
 } from '@zinniagrade/serving';
 import { AliveNodes } from './alive-nodes.js';
-import type { PromptFinding } from './prompt-guard.js';
+import type { KeyFinding } from './request-guard.js';
 import type { LimitFinding } from './stated-limits.js';
 import { createAudiences, type Audience } from './peer-audiences.js';
 import type {
@@ -36,9 +36,9 @@
   /** Called with a load that another node has read, and the time of reading. */
   readonly onLoad: (upstream: string, load: EngineLoad, readAtMs: number) => void;
   readonly onReport: (node: string, service: string, report: RolloutReport) => void;
-  readonly onFinding: (finding: PromptFinding) => void;
-  /** Findings on prompts for a node that has none yet. */
-  readonly findings: () => readonly PromptFinding[];
+  readonly onFinding: (finding: KeyFinding) => void;
+  /** Findings on keys of requests for a node that has none yet. */
+  readonly findings: () => readonly KeyFinding[];
   readonly onLimit: (finding: LimitFinding) => void;
   /** Limits of upstreams for a node that has none yet. */
   readonly limits: () => readonly LimitFinding[];
@@ -55,7 +55,7 @@
   readonly markUsesChanged: () => void;
   readonly shareLoad: (upstream: string, load: EngineLoad) => void;
   readonly shareReport: (service: string, report: RolloutReport) => void;
-  readonly shareFinding: (finding: PromptFinding) => void;
+  readonly shareFinding: (finding: KeyFinding) => void;
   readonly shareLimit: (finding: LimitFinding) => void;
   readonly receive: (from: string, message: Extract<NodeMessage, { kind: 'state' }>) => void;
   readonly onLinkOpen: (node: string) => void;
@@ -176,7 +176,7 @@
       return found;
     };
 
-    const ownFinding = (finding: PromptFinding): SharedFinding => ({
+    const ownFinding = (finding: KeyFinding): SharedFinding => ({
       ...finding,
       node: options.node,
     });
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -23,8 +23,8 @@
   readonly delaysRemovalAfterOutage: (key: string) => boolean;
   readonly nodeKey: (node: string) => string;
   readonly encodeNode: (entry: NodeEntry) => Buffer;
-  /** Store key for a part of prompts that is kept away from engines. */
-  readonly promptQuarantineKey: (part: string) => string;
+  /** Store key for the entry of a part of prompts, or a request, that is in quarantine. */
+  readonly quarantineEntryKey: (key: string) => string;
   readonly rolloutStatusKey: (service: string) => string;
   readonly encodeRolloutStatus: (status: RolloutStatus) => Buffer;
   /** Encodes the addresses of nodes, and how long callers may cache them. */
--- a/packages/gateway/src/quarantine-entries.ts
+++ b/packages/gateway/src/quarantine-entries.ts
@@ -1,25 +1,25 @@
 import type { MetadataStore } from './metadata-store.js';
 
-/** Store entries of the prompt parts in quarantine. */
+/** Store entries of the prompt parts and requests in quarantine. */
 export interface QuarantineEntries {
-  /** Writes the entry of a part unless it exists. Returns whether the store confirmed it. */
-  readonly write: (part: string, lifeMs: number) => Promise<boolean>;
-  readonly remove: (part: string) => Promise<boolean>;
+  /** Writes the entry of a key unless it exists. Returns whether the store confirmed it. */
+  readonly write: (key: string, lifeMs: number) => Promise<boolean>;
+  readonly remove: (key: string) => Promise<boolean>;
 }
 
 export const QuarantineEntries = {
-  create: (store: MetadataStore, keyOf: (part: string) => string): QuarantineEntries => ({
-    write: async (part, lifeMs) => {
+  create: (store: MetadataStore, entryKeyOf: (key: string) => string): QuarantineEntries => ({
+    write: async (key, lifeMs) => {
       // The lease removes the entry in time, also if no node of today is left by then.
       const lease = await store.grantLease(lifeMs);
       if (lease.isLeft()) {
         return false;
       }
-      const key = keyOf(part);
+      const entryKey = entryKeyOf(key);
       const id = lease.unsafeCoerce();
       const { outcome } = await store.commit({
-        expected: new Map([[key, 0]]),
-        writes: [{ key, value: Buffer.from(part), lease: id }],
+        expected: new Map([[entryKey, 0]]),
+        writes: [{ key: entryKey, value: Buffer.from(key), lease: id }],
         removals: [],
       });
       if (outcome !== 'done') {
@@ -27,11 +27,11 @@
       }
       return outcome === 'done';
     },
-    remove: async (part) => {
+    remove: async (key) => {
       const { outcome } = await store.commit({
         expected: new Map(),
         writes: [],
-        removals: [keyOf(part)],
+        removals: [entryKeyOf(key)],
       });
       return outcome === 'done';
     },
--- a/packages/gateway/src/restored-entry.ts
+++ b/packages/gateway/src/restored-entry.ts
@@ -16,7 +16,7 @@
       return change.entry !== undefined;
     case 'rollout-status':
       return change.status !== undefined;
-    case 'prompt-quarantine':
+    case 'quarantine':
       return change.isQuarantined;
     default:
       return true;
@@ -38,7 +38,7 @@
     const state = restored.upstream?.state;
     return state === 'draining' || state === known.upstream?.state ? 'apply' : 'hold';
   }
-  if (known.kind === 'rollout-status' || known.kind === 'prompt-quarantine') {
+  if (known.kind === 'rollout-status' || known.kind === 'quarantine') {
     return isPresent(known) ? 'keep' : 'hold';
   }
   return isPresent(known) === isPresent(restored) ? 'apply' : 'hold';
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -108,7 +108,7 @@
     if (call.isEnded() || attempts.size > 0) {
       return;
     }
-    if (mayHaveRun && !context.prompts.allowsRepeat(request)) {
+    if (mayHaveRun && !context.guard.allowsRepeat(call)) {
       endUnserved();
       return;
     }
@@ -126,8 +126,9 @@
     member: FleetMember,
     head: ResponseHead,
     body: Buffer,
-    latencyMs: number,
+    sentAtMs: number,
   ): void => {
+    const latencyMs = clock.monotonicMs() - sentAtMs;
     if (head.load !== undefined) {
       member.serviceLoad = head.load;
       member.serviceLoadAtMs = clock.monotonicMs();
@@ -155,7 +156,7 @@
     if (route.kind === 'streaming' && head.status === 200 && isTruncatedStream(body)) {
       recordOutcome(member, latencyMs, true);
       logAttempt('stream ended inside an event', member, head.status);
-      context.prompts.onEarlyLoss(request, member.upstream.id);
+      context.guard.onEarlyLoss(call, member.upstream.id, sentAtMs);
       retryOrEnd(true);
       return;
     }
@@ -169,13 +170,13 @@
     }
     logAttempt('answered', member, head.status);
     if (head.status < 300) {
-      context.prompts.onSound(request);
+      context.guard.onSound(call);
     }
     forwardResponse(call.response, head, body);
     call.finish(failed ? 'upstream-error' : 'complete');
   };
 
-  const onFailure = (member: FleetMember, failure: ExchangeFailure): void => {
+  const onFailure = (member: FleetMember, failure: ExchangeFailure, sentAtMs: number): void => {
     recordOutcome(member, 0, true);
     logAttempt(
       failure.possiblySent ? 'connection lost' : 'request not sent',
@@ -187,13 +188,13 @@
       refusals += 1;
     } else {
       possibleRuns += 1;
-      context.prompts.onEarlyLoss(request, member.upstream.id);
+      context.guard.onEarlyLoss(call, member.upstream.id, sentAtMs);
     }
     retryOrEnd(failure.possiblySent);
   };
 
   const send = (): void => {
-    const refusal = context.prompts.refusal(request);
+    const refusal = context.guard.refusal(call);
     if (refusal !== undefined) {
       if (attempts.size === 0) {
         endUnserved(refusal);
@@ -248,7 +249,7 @@
     const onExchangeFailure = (failure: ExchangeFailure): void => {
       release();
       if (!call.isEnded()) {
-        onFailure(member, failure);
+        onFailure(member, failure, sentAtMs);
       }
     };
     const exchange = context.client.send(
@@ -267,6 +268,8 @@
         onData: (bytes) => {
           if (!body.add(bytes)) {
             exchange.abort();
+            // An upstream that sends so much does not crash on the request.
+            context.guard.onSound(call);
             onExchangeFailure({
               possiblySent: true,
               reason: 'the response exceeds the size limit',
@@ -284,7 +287,7 @@
           }
           release();
           if (!call.isEnded() && responseHead !== undefined) {
-            onResponse(member, responseHead, body.toBuffer(), latencyMs);
+            onResponse(member, responseHead, body.toBuffer(), sentAtMs);
           }
         },
         onFailure: onExchangeFailure,
@@ -307,7 +310,7 @@
     if (call.isEnded() || attempts.size === 0 || maxPossibleRuns >= route.maxAttempts) {
       return;
     }
-    if (!context.prompts.allowsRepeat(request)) {
+    if (!context.guard.allowsRepeat(call)) {
       return;
     }
     if (budget.tryTakeRetry(clock.monotonicMs(), context.nodeCount())) {
--- a/packages/gateway/src/stream-admission.ts
+++ b/packages/gateway/src/stream-admission.ts
@@ -73,7 +73,7 @@
       if (call.isEnded()) {
         return;
       }
-      const refusal = context.prompts.refusal(call.request);
+      const refusal = context.guard.refusal(call);
       if (refusal !== undefined) {
         onRefused(refusal, refusal.kind);
         return;
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,6 +1,7 @@
 export * from './admission.js';
 export * from './cold-limit.js';
 export type * from './configuration.js';
+export * from './crash-list.js';
 export * from './departures.js';
 export * from './event-splitter.js';
 export * from './fingerprint.js';
@@ -8,7 +9,7 @@
 export * from './peer-use.js';
 export * from './placement.js';
 export * from './placement-rate.js';
-export * from './prompt-quarantine.js';
+export * from './quarantine.js';
 export * from './retry-budget.js';
 export * from './retry-after-schedule.js';
 export * from './rollout.js';
--- a/packages/types/src/error-kind.ts
+++ b/packages/types/src/error-kind.ts
@@ -18,6 +18,7 @@
   | 'upstream-unreachable'
   | 'upstream-refused'
   | 'prompt-quarantined'
+  | 'request-quarantined'
   | 'upstream-failed'
   | 'upstream-timeout'
   | 'outcome-unknown'
