Send nothing to an upstream for the time that it has asked for

Upstreams that turned requests away with 503 and a wait got all requests that chose them during it: the header Retry-After of a response was not read. Where all upstreams of a service said so, callers were told to come back after 0.25 s (calls) or 0.6 s (streams), whatever the wait was.

Now each node keeps the wait with the upstream, so it holds for a node that is cut off as well. Placement passes the upstream over, no stream continues from a copy there, and its load isn't read. A refused caller is told the shortest wait of the upstreams that could serve it. A 421 comes from another upstream under the same address and is not taken for a statement.

One module hears what upstreams state, for calls and for streams; the limit that they state goes through it.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -9,8 +9,8 @@
 import type { RequestGuard } from './request-guard.js';
 import type { Rollouts } from './rollouts.js';
 import type { ServiceRecord } from './service-records.js';
-import type { StatedLimits } from './stated-limits.js';
 import type { UpstreamClient } from './upstream-client.js';
+import type { UpstreamStatements } from './upstream-statements.js';
 import type { ClusterState } from './cluster-state.js';
 
 /** Dependencies for serving a request, shared by all requests of the process. */
@@ -29,8 +29,8 @@
   readonly nodeCount: () => number;
   /** Whether the cold-start limit and the stated limit of this upstream allow one more request. */
   readonly isWithinRateLimits: (member: FleetMember) => boolean;
-  /** Limits that upstreams in need state. */
-  readonly statedLimits: StatedLimits;
+  /** What upstreams state of themselves in their responses. */
+  readonly statements: UpstreamStatements;
   /** Shifts of services' traffic to other versions. */
   readonly rollouts: Rollouts;
   /** Requests that crash upstreams. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,6 +28,7 @@
 import { EngineDrainer } from './engine-drainer.js';
 import { Shutdown } from './shutdown.js';
 import { closeUnusedConnections, limitConnections } from './upstream-connections.js';
+import { UpstreamStatements } from './upstream-statements.js';
 import { ClusterState, type NodeEntry } from './cluster-state.js';
 
 /** A running gateway process. */
@@ -174,7 +175,7 @@
       recordOf: serviceRecords.get,
       nodeCount: () => Math.max(1, cluster.nodes.size),
       isWithinRateLimits: (member) => isWithinColdStartLimit(member) && statedLimits.allows(member),
-      statedLimits,
+      statements: UpstreamStatements.create(clock, log, cluster.fleet, statedLimits),
       rollouts,
       guard,
       peerUse: peers.peerUse,
--- a/packages/gateway/src/load-polling.ts
+++ b/packages/gateway/src/load-polling.ts
@@ -115,6 +115,7 @@
         if (
           isEngine &&
           member.goneAtMs === undefined &&
+          member.waitUntilMs <= clock.monotonicMs() &&
           !pendingReads.has(id) &&
           options.readsLoadOf(id, dataCentre)
         ) {
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -91,7 +91,7 @@
         Failure.create(
           refusals > 0 ? 'upstream-refused' : 'no-upstream',
           `no engine of ${service.name} accepted the request`,
-          refusalRetryAfterMs,
+          context.statements.retryAfterMs(call, refusalRetryAfterMs),
         ),
       );
     };
@@ -144,7 +144,9 @@
     };
 
     const usableStandby = (): Standby | undefined =>
-      standby !== undefined && canRecover(standby, context.cluster.withdrawn) ? standby : undefined;
+      standby !== undefined && canRecover(standby, context.cluster.withdrawn, clock.monotonicMs())
+        ? standby
+        : undefined;
 
     const recovery = (): StreamRecovery =>
       decideRecovery({
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -95,7 +95,7 @@
         Failure.create(
           refusals > 0 ? 'upstream-refused' : 'no-upstream',
           `no upstream of ${service.name} accepted the request`,
-          refusalRetryAfterMs,
+          context.statements.retryAfterMs(call, refusalRetryAfterMs),
         ),
     );
   };
@@ -263,7 +263,7 @@
       {
         onHead: (head) => {
           responseHead = head;
-          context.statedLimits.onResponse(member, head, sentAtMs);
+          context.statements.onResponse(member, head, sentAtMs);
         },
         onData: (bytes) => {
           if (!body.add(bytes)) {
--- a/packages/gateway/src/standby.test.ts
+++ b/packages/gateway/src/standby.test.ts
@@ -34,15 +34,23 @@
     const standby = createStandby(0);
     const withdrawn = new Set(['a']);
     expect(canSwitchOver(standby, withdrawn, 10)).to.equal(false);
-    expect(canRecover(standby, withdrawn)).to.equal(false);
+    expect(canRecover(standby, withdrawn, 10)).to.equal(false);
+  });
+
+  it('is not used while its holder wants no requests', () => {
+    const standby = createStandby(0);
+    standby.holder.waitUntilMs = 100;
+    expect(canRecover(standby, noneWithdrawn, 99)).to.equal(false);
+    expect(canSwitchOver(standby, noneWithdrawn, 99)).to.equal(false);
+    expect(canRecover(standby, noneWithdrawn, 100)).to.equal(true);
   });
 
   it('allows only recovery while its holder is leaving, and nothing once the holder is gone', () => {
     const standby = createStandby(0);
     standby.holder.leaving = true;
     expect(canSwitchOver(standby, noneWithdrawn, 10)).to.equal(false);
-    expect(canRecover(standby, noneWithdrawn)).to.equal(true);
+    expect(canRecover(standby, noneWithdrawn, 10)).to.equal(true);
     standby.holder.goneAtMs = 5;
-    expect(canRecover(standby, noneWithdrawn)).to.equal(false);
+    expect(canRecover(standby, noneWithdrawn, 10)).to.equal(false);
   });
 });
--- a/packages/gateway/src/standby.ts
+++ b/packages/gateway/src/standby.ts
@@ -15,11 +15,17 @@
   withdrawn: ReadonlySet<string>,
   nowMs: number,
 ): boolean =>
-  canRecover(standby, withdrawn) && !standby.holder.leaving && standby.readyAtMs <= nowMs;
+  canRecover(standby, withdrawn, nowMs) && !standby.holder.leaving && standby.readyAtMs <= nowMs;
 
 /**
  * Whether a lost run may continue from the copy, which may not have arrived yet. Engines in a withdrawn
- * data centre get no requests, not even continued ones.
+ * data centre get no requests, not even continued ones, nor do those that have asked for none.
  */
-export const canRecover = (standby: Standby, withdrawn: ReadonlySet<string>): boolean =>
-  standby.holder.goneAtMs === undefined && !withdrawn.has(standby.holder.upstream.dataCentre);
+export const canRecover = (
+  { holder }: Standby,
+  withdrawn: ReadonlySet<string>,
+  nowMs: number,
+): boolean =>
+  holder.goneAtMs === undefined &&
+  holder.waitUntilMs <= nowMs &&
+  !withdrawn.has(holder.upstream.dataCentre);
--- a/packages/gateway/src/stream-admission.ts
+++ b/packages/gateway/src/stream-admission.ts
@@ -88,7 +88,7 @@
             Failure.create(
               'no-upstream',
               `service ${service.name} has no available engine`,
-              noEngineRetryAfterMs,
+              context.statements.retryAfterMs(call, noEngineRetryAfterMs),
             ),
             admission.kind,
           );
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -172,7 +172,7 @@
       {
         onHead: (received) => {
           head = received;
-          context.statedLimits.onResponse(member, received, sentAtMs);
+          context.statements.onResponse(member, received, sentAtMs);
           if (!closed && isStreamResponse(received)) {
             handlers.onAccepted(received);
           }
--- a/packages/gateway/src/upstream-client.ts
+++ b/packages/gateway/src/upstream-client.ts
@@ -44,6 +44,8 @@
   readonly load?: ServiceLoad;
   /** Requests per second that the upstream takes from all nodes together, if it states a limit. */
   readonly requestsPerSecond?: number;
+  /** Time for which an upstream that refuses the request wants no other one of this node. */
+  readonly retryAfterMs?: number;
 }
 
 export interface ExchangeFailure {
--- /dev/null
+++ b/packages/gateway/src/upstream-statements.ts
@@ -0,0 +1,57 @@
+import type { Clock } from '@zinniagrade/clock';
+import type { Fleet, FleetMember } from '@zinniagrade/serving';
+import type { Call } from './call.js';
+import type { Log } from './log.js';
+import type { StatedLimits } from './stated-limits.js';
+import type { ResponseHead } from './upstream-client.js';
+
+/** Applies what upstreams state of themselves in their responses. */
+export interface UpstreamStatements {
+  /** To be called with the head of each response to a request that was sent at this time. */
+  readonly onResponse: (member: FleetMember, head: ResponseHead, sentAtMs: number) => void;
+  /**
+   * Wait to ask a refused caller for: the time until one of the upstreams for its call takes
+   * requests of this node again, but at least the minimum.
+   */
+  readonly retryAfterMs: (call: PlacedCall, minimumMs: number) => number;
+}
+
+/** The fields of a call that decide which upstreams it may go to. */
+export type PlacedCall = Pick<Call, 'service' | 'allowsVersionOf'>;
+
+/** The connection has led to another upstream, which has the address now. */
+const misdirected = 421;
+
+export const UpstreamStatements = {
+  create: (clock: Clock, log: Log, fleet: Fleet, limits: StatedLimits): UpstreamStatements => {
+    const applyWait = (member: FleetMember, retryAfterMs: number): void => {
+      const waitUntilMs = clock.monotonicMs() + retryAfterMs;
+      if (waitUntilMs <= member.waitUntilMs) {
+        return;
+      }
+      member.waitUntilMs = waitUntilMs;
+      log.event('upstream asks for no requests', { upstream: member.upstream.id, retryAfterMs });
+    };
+
+    return {
+      onResponse: (member, head, sentAtMs) => {
+        if (head.status === misdirected) {
+          return;
+        }
+        limits.onResponse(member, head, sentAtMs);
+        if (head.retryAfterMs !== undefined) {
+          applyWait(member, head.retryAfterMs);
+        }
+      },
+      retryAfterMs: ({ service, allowsVersionOf }, minimumMs) => {
+        const waitsMs: number[] = [];
+        for (const member of fleet.ofService(service.name)) {
+          if (!member.leaving && allowsVersionOf(member)) {
+            waitsMs.push(member.waitUntilMs - clock.monotonicMs());
+          }
+        }
+        return waitsMs.length === 0 ? minimumMs : Math.max(minimumMs, Math.min(...waitsMs));
+      },
+    };
+  },
+};
--- a/packages/serving/src/fleet.ts
+++ b/packages/serving/src/fleet.ts
@@ -35,6 +35,8 @@
   failureShare: number;
   /** After connection failures, no requests are sent before this time. */
   avoidUntilMs: number;
+  /** Until this time the upstream wants no requests of this node, as it has stated. */
+  waitUntilMs: number;
   /** Until this time on the monotonic clock the upstream is cold and would fail under full load. */
   coldUntilMs: number;
   /** Times of the requests that this node sent within the last second to the cold upstream. */
@@ -79,6 +81,7 @@
   msPerPromptToken: 0,
   failureShare: 0,
   avoidUntilMs: 0,
+  waitUntilMs: 0,
   coldUntilMs: nowMs + upstream.coldLeftMs,
   coldSends: [],
   statedLimit: StatedLimit.create(),
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -58,6 +58,7 @@
   !member.leaving &&
   member.goneAtMs === undefined &&
   member.avoidUntilMs <= constraints.nowMs &&
+  member.waitUntilMs <= constraints.nowMs &&
   !constraints.excludedUpstreams.has(member.upstream.id) &&
   !constraints.withdrawnDataCentres.has(member.upstream.dataCentre) &&
   constraints.allows(member);
