Send no new work to an upstream that states in a response that it leaves

Upstreams that were leaving got new requests for as long as their entry in the store said that they were ready: the response header Server-Leaving was not read. Callers were served, but by upstreams that were about to end.

Now the node that reads it marks the upstream as leaving, so that placement passes it over and its streams move away. Registrations that are renewed don't take that back, nor one that lapses and returns; a restart under the same id (a new 'born') does. Each node keeps it by itself.

Weighed: telling the other nodes. The store and the load report do already, and a node that has heard nothing isn't bound.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -227,6 +227,7 @@
         .filter((member) => !member.leaving);
       const { departures } = serviceRecords.get(upstream.service);
       departures.recordDeparture(clock.monotonicMs(), remaining.length + 1);
+      engineDrainer.scheduleCheck();
     });
     cluster.onChange((change) => {
       switch (change.kind) {
--- a/packages/gateway/src/upstream-client.ts
+++ b/packages/gateway/src/upstream-client.ts
@@ -41,6 +41,8 @@
   readonly endsWithConnection: boolean;
   /** Whether the upstream closes the connection after this response. */
   readonly closesConnection: boolean;
+  /** Whether the upstream states that it is leaving. */
+  readonly leaving: boolean;
   readonly load?: ServiceLoad;
   /** Requests per second that the upstream takes from all nodes together, if it states a limit. */
   readonly requestsPerSecond?: number;
--- a/packages/gateway/src/upstream-statements.ts
+++ b/packages/gateway/src/upstream-statements.ts
@@ -33,6 +33,15 @@
       log.event('upstream asks for no requests', { upstream: member.upstream.id, retryAfterMs });
     };
 
+    const applyLeaving = (member: FleetMember): void => {
+      if (member.statesLeaving) {
+        return;
+      }
+      member.statesLeaving = true;
+      log.event('upstream states that it is leaving', { upstream: member.upstream.id });
+      fleet.markLeaving(member);
+    };
+
     return {
       onResponse: (member, head, sentAtMs) => {
         if (head.status === misdirected) {
@@ -42,6 +51,9 @@
         if (head.retryAfterMs !== undefined) {
           applyWait(member, head.retryAfterMs);
         }
+        if (head.leaving) {
+          applyLeaving(member);
+        }
       },
       retryAfterMs: ({ service, allowsVersionOf }, minimumMs) => {
         const waitsMs: number[] = [];
--- a/packages/serving/src/fleet.ts
+++ b/packages/serving/src/fleet.ts
@@ -1,3 +1,4 @@
+import { LRUCache } from 'lru-cache';
 import { recordColdSend } from './cold-limit.js';
 import { StatedLimit } from './stated-limit.js';
 import type { EngineLoad, ServiceLoad, Upstream } from './upstream.js';
@@ -43,6 +44,8 @@
   readonly coldSends: number[];
   /** The requests per second that the upstream states it takes, and what this node has used. */
   readonly statedLimit: StatedLimit;
+  /** Whether a response has stated that the upstream is leaving; only its restart takes that back. */
+  statesLeaving: boolean;
   /** Set when the upstream reports that it is leaving, or its registration says so or is gone. */
   leaving: boolean;
   /** When the registration disappeared; the upstream still serves for a short time after that. */
@@ -71,6 +74,9 @@
 /** Smoothing weight of a new response. */
 const newestAnswerWeight = 0.2;
 
+/** Upstreams whose registration may lapse and come back, as after an outage of the store. */
+const maxRemovedMembers = 256;
+
 const createMember = (upstream: Upstream, nowMs: number): FleetMember => ({
   upstream,
   registeredAtMs: nowMs,
@@ -82,6 +88,7 @@
   failureShare: 0,
   avoidUntilMs: 0,
   waitUntilMs: 0,
+  statesLeaving: false,
   coldUntilMs: nowMs + upstream.coldLeftMs,
   coldSends: [],
   statedLimit: StatedLimit.create(),
@@ -91,6 +98,8 @@
 export const Fleet = {
   create: (): Fleet => {
     const members = new Map<string, FleetMember>();
+    /** Kept for what they have stated, which still holds if their registration comes back. */
+    const removed = new LRUCache<string, FleetMember>({ max: maxRemovedMembers });
     const listeners: ((member: FleetMember) => void)[] = [];
     const markLeaving = (member: FleetMember): void => {
       if (member.leaving) {
@@ -101,6 +110,23 @@
         listener(member);
       }
     };
+    const deleteMember = (member: FleetMember): void => {
+      members.delete(member.upstream.id);
+      removed.set(member.upstream.id, member);
+    };
+
+    const addMember = (upstream: Upstream, nowMs: number): FleetMember => {
+      const member = createMember(upstream, nowMs);
+      members.set(upstream.id, member);
+      const earlier = removed.get(upstream.id);
+      if (earlier !== undefined && earlier.upstream.bornAtMs === upstream.bornAtMs) {
+        member.statesLeaving = earlier.statesLeaving;
+        member.leaving ||= earlier.statesLeaving;
+        member.waitUntilMs = earlier.waitUntilMs;
+      }
+      return member;
+    };
+
     return {
       members,
       markLeaving,
@@ -110,9 +136,11 @@
       register: (upstream, nowMs) => {
         const known = members.get(upstream.id);
         if (known === undefined) {
-          const member = createMember(upstream, nowMs);
-          members.set(upstream.id, member);
-          return member;
+          return addMember(upstream, nowMs);
+        }
+        if (upstream.bornAtMs !== known.upstream.bornAtMs) {
+          known.statesLeaving = false;
+          known.waitUntilMs = 0;
         }
         known.upstream = upstream;
         known.registeredAtMs = nowMs;
@@ -121,7 +149,7 @@
         if (upstream.state === 'draining') {
           markLeaving(known);
         } else {
-          known.leaving = false;
+          known.leaving = known.statesLeaving;
         }
         return known;
       },
@@ -133,7 +161,7 @@
         markLeaving(member);
         member.goneAtMs ??= nowMs;
         if (member.ownRuns.size === 0) {
-          members.delete(id);
+          deleteMember(member);
         }
       },
       ofService: (service) => {
@@ -149,7 +177,7 @@
         const deletedIds: string[] = [];
         for (const [id, member] of members) {
           if (member.goneAtMs !== undefined && member.ownRuns.size === 0) {
-            members.delete(id);
+            deleteMember(member);
             deletedIds.push(id);
           }
         }
--- a/packages/serving/src/upstream.ts
+++ b/packages/serving/src/upstream.ts
@@ -3,6 +3,8 @@
  */
 export interface Upstream {
   readonly id: string;
+  /** Start of its process, in Unix milliseconds, if stated; a restart may keep the id. */
+  readonly bornAtMs?: number;
   readonly service: string;
   /** As IP:PORT. */
   readonly address: string;
