Have the soak's workers refuse with a wait, state that they leave, and cut streams

The soak's workers said only what the nodes read, so no seed could find that Retry-After and Server-Leaving were ignored, or a stream that is cut inside an event and ends in order without a length. They do so now, in faults of a sequence of their own: the plans of earlier seeds stay as they were. A check holds each gateway to what a worker has stated to it.

--- a/packages/soak/src/checks.test.ts
+++ b/packages/soak/src/checks.test.ts
@@ -119,4 +119,22 @@
     observations.requests.push(sentRequest({ answer }));
     expect(brokenPromises(observations)).to.deep.equal(['recovery']);
   });
+
+  it('report requests to a worker that refuses or leaves, by a gateway that it has told', () => {
+    const observations = Observations.create();
+    for (const [index, gateway] of ['g1', 'g2', 'g1', 'g1', 'g1'].entries()) {
+      const id = `r${String(index)}`;
+      const sentAtMs = 10_000 + 1000 * index;
+      const answer = { status: 503, body: '', complete: true, sealed: true };
+      observations.requests.push(sentRequest({ id, gateway, sentAtMs, answer }));
+      observations.workerRuns.push({ ...workerRun(sentAtMs + 10), requestId: id });
+    }
+    const statement = { requestId: 'r0', worker: 'app-1', atMs: 10_010 };
+    observations.statements.push({ ...statement, kind: 'refuses', untilMs: 13_500 });
+    expect(brokenPromises(observations)).not.to.include('keeps-to-statements');
+    observations.statements.push({ ...statement, kind: 'refuses', untilMs: 14_500 });
+    expect(brokenPromises(observations)).to.include('keeps-to-statements');
+    observations.statements.splice(0, 2, { ...statement, kind: 'leaves', untilMs: 13_500 });
+    expect(brokenPromises(observations)).to.include('keeps-to-statements');
+  });
 });
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -113,6 +113,49 @@
   return violations;
 };
 
+/** Requests that may reach a worker after its statement, and the time until it has to be known. */
+const statementBounds = {
+  refuses: { settleMs: 500, maxArrivals: 2 },
+  leaves: { settleMs: soakBounds.drainMs, maxArrivals: 0 },
+} as const;
+
+interface Arrival {
+  readonly requestId: string;
+  readonly worker: string;
+  readonly atMs: number;
+}
+
+/** Each gateway is bound by what a worker has stated in a response to the gateway itself. */
+const checkStatements = (observations: Observations): readonly Violation[] => {
+  const requests = new Map(observations.requests.map((request) => [request.id, request]));
+  const refusals = observations.statements.filter(({ kind }) => kind === 'refuses');
+  const arrivals: readonly Arrival[] = [...observations.workerRuns, ...refusals];
+  const violations: Violation[] = [];
+  for (const { kind, requestId, worker, atMs, untilMs } of observations.statements) {
+    const gateway = requests.get(requestId)?.gateway;
+    if (gateway === undefined || isExemptFromTiming(observations, gateway, atMs, untilMs)) {
+      continue;
+    }
+    const { settleMs, maxArrivals } = statementBounds[kind];
+    const dueMs = atMs + settleMs + toleranceMs;
+    const late = arrivals.filter((arrival) => {
+      const request = requests.get(arrival.requestId);
+      return (
+        arrival.worker === worker &&
+        request?.gateway === gateway &&
+        request.sentAtMs > atMs + settleMs &&
+        arrival.atMs > dueMs &&
+        arrival.atMs < untilMs
+      );
+    });
+    if (late.length > maxArrivals) {
+      const detail = `${String(late.length)} requests of ${gateway} reached ${worker}, which ${kind}`;
+      violations.push({ promise: 'keeps-to-statements', detail });
+    }
+  }
+  return violations;
+};
+
 const checkApiKeys = (observations: Observations): readonly Violation[] => {
   const violations: Violation[] = [];
   const runs = runsByRequest(observations);
@@ -187,6 +230,7 @@
   ...checkRuns(observations),
   ...checkAnswers(observations),
   ...checkDraining(observations),
+  ...checkStatements(observations),
   ...checkApiKeys(observations),
   ...checkConfigurationNeverReverts(observations),
   ...checkRecovery(observations),
--- a/packages/soak/src/environment.ts
+++ b/packages/soak/src/environment.ts
@@ -60,7 +60,13 @@
   /** Sets up everything; the gateways are not started yet. */
   create: async (options: EnvironmentOptions, random: Random): Promise<Environment> => {
     const observations = Observations.create();
-    const platform = await SoakPlatform.create((run) => observations.workerRuns.push(run), random);
+    const platform = await SoakPlatform.create(
+      {
+        onRun: (run) => observations.workerRuns.push(run),
+        onStatement: (statement) => observations.statements.push(statement),
+      },
+      random,
+    );
     platform.configure(1, apiKeys);
     const workerProxies: LoopbackProxy[] = [];
     for (const { standin } of platform.workers) {
--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -11,9 +11,13 @@
   | { readonly kind: 'worker-link'; readonly worker: number; readonly link: LinkFault }
   | { readonly kind: 'store-away' | 'store-loses-replies' | 'store-forgets' }
   | { readonly kind: 'worker-leaves' | 'answers-lost' | 'errors'; readonly worker: number }
+  | { readonly kind: StatementFaultKind; readonly worker: number }
   | { readonly kind: 'revoke' }
 );
 
+/** Faults of workers that say so in their responses, or whose streams end too early. */
+export type StatementFaultKind = (typeof statementFaultKinds)[number];
+
 export interface FaultPlanOptions {
   readonly gatewayCount: number;
   readonly workerCount: number;
@@ -55,6 +59,30 @@
 /** Share of faults that are repeated on the same target `minFaultMs` after they end. */
 const repeatShare = 0.25;
 
+const statementFaultKinds = ['worker-refuses', 'worker-states-leaving', 'streams-cut'] as const;
+const meanStatementIntervalMs = 2000;
+
+/**
+ * Draws faults of `statementFaultKinds`. They have a sequence of their own, so that a seed of
+ * `planFaults` gives the same plan as before these kinds existed.
+ */
+export const planStatementFaults = (
+  random: Random,
+  { workerCount, faultPeriodMs }: FaultPlanOptions,
+): readonly Fault[] => {
+  const faults: Fault[] = [];
+  let atMs = meanStatementIntervalMs * random();
+  while (atMs < faultPeriodMs) {
+    const kind = statementFaultKinds[Math.floor(random() * statementFaultKinds.length)];
+    if (kind !== undefined) {
+      const forMs = minFaultMs + random() * (maxFaultMs - minFaultMs);
+      faults.push({ atMs, forMs, kind, worker: Math.floor(random() * workerCount) });
+    }
+    atMs += random() * 2 * meanStatementIntervalMs;
+  }
+  return faults;
+};
+
 /** Draws overlapping and repeated faults. The same random sequence gives the same plan. */
 export const planFaults = (random: Random, options: FaultPlanOptions): readonly Fault[] => {
   const faults: Fault[] = [];
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -26,6 +26,9 @@
   gateway.start();
 };
 
+const isDraining = ({ observations }: Environment, id: string): boolean =>
+  observations.drainPeriods.some(({ worker, toMs }) => worker === id && toMs === Infinity);
+
 const drainWorker = async (
   environment: Environment,
   fault: Fault & { readonly worker: number },
@@ -33,11 +36,7 @@
   const { standin } = elementAt(environment.platform.workers, fault.worker);
   const { address } = elementAt(environment.workerProxies, fault.worker);
   const drainPeriod = { worker: standin.id, fromMs: performance.now(), toMs: Infinity };
-  if (
-    environment.observations.drainPeriods.some(
-      ({ worker, toMs }) => worker === standin.id && toMs === Infinity,
-    )
-  ) {
+  if (isDraining(environment, standin.id)) {
     return;
   }
   environment.observations.drainPeriods.push(drainPeriod);
@@ -47,6 +46,29 @@
   environment.platform.register(standin.id, address, 'ready');
 };
 
+/** Has the worker's responses state that it leaves; then it starts again under the same id. */
+const stateLeaving = async (
+  environment: Environment,
+  fault: Fault & { readonly worker: number },
+): Promise<void> => {
+  const { standin, faults } = elementAt(environment.platform.workers, fault.worker);
+  if (faults.leaving) {
+    return;
+  }
+  faults.leaving = true;
+  await sleep(soakBounds.drainMs + fault.forMs);
+  faults.leaving = false;
+  for (const statement of environment.observations.statements) {
+    if (statement.worker === standin.id && statement.kind === 'leaves') {
+      statement.untilMs = Math.min(statement.untilMs, performance.now());
+    }
+  }
+  environment.platform.countRestart(standin.id);
+  const { address } = elementAt(environment.workerProxies, fault.worker);
+  const state = isDraining(environment, standin.id) ? 'draining' : 'ready';
+  environment.platform.register(standin.id, address, state);
+};
+
 /** Revokes the next API key; the first one always stays valid, so that requests can be served. */
 const revokeNextKey = (environment: Environment): void => {
   if (environment.revokedKeyCount >= apiKeys.length - 1) {
@@ -118,6 +140,18 @@
       faults.errorResponseShare = 0.5;
       await sleep(fault.forMs);
       faults.errorResponseShare = 0;
+      return;
+    case 'streams-cut':
+      faults.cutStreamShare = 0.5;
+      await sleep(fault.forMs);
+      faults.cutStreamShare = 0;
+      return;
+    case 'worker-refuses':
+      faults.refusesUntilMs = Math.max(faults.refusesUntilMs, performance.now() + fault.forMs);
+      await sleep(fault.forMs);
+      return;
+    case 'worker-states-leaving':
+      await stateLeaving(environment, fault);
   }
 };
 
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -2,6 +2,7 @@
   CallerResponse,
   RequestKind,
   WorkerRun,
+  WorkerStatement,
 } from '@zinniagrade/platform-adapter/standins';
 
 /**
@@ -38,6 +39,7 @@
 export interface Observations {
   readonly requests: SentRequest[];
   readonly workerRuns: WorkerRun[];
+  readonly statements: WorkerStatement[];
   readonly timingExemptions: TimingExemption[];
   readonly drainPeriods: DrainPeriod[];
   /** Time of revocation by API key. */
@@ -52,6 +54,7 @@
   create: (): Observations => ({
     requests: [],
     workerRuns: [],
+    statements: [],
     timingExemptions: [],
     drainPeriods: [],
     keyRevokedAtMs: new Map(),
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -2,7 +2,7 @@
 import { Random } from '@zinniagrade/clock';
 import { findViolations, type Violation } from './checks.js';
 import { apiKeys, Environment, exemptFromTiming, type EnvironmentOptions } from './environment.js';
-import { planFaults, type Fault } from './fault-plan.js';
+import { planFaults, planStatementFaults, type Fault } from './fault-plan.js';
 import { injectFault } from './inject-fault.js';
 import { sleep } from './sleep.js';
 import { Traffic } from './traffic.js';
@@ -34,11 +34,15 @@
   const random = Random.create(randomSeed);
   const environment = await Environment.create(options, Random.create(randomSeed + seedStride));
   const { observations, gateways, platform } = environment;
-  const faults = planFaults(random, {
+  const planOptions = {
     gatewayCount: gateways.length,
     workerCount: platform.workers.length,
     faultPeriodMs: options.faultPeriodMs,
-  });
+  };
+  const faults = [
+    ...planFaults(random, planOptions),
+    ...planStatementFaults(Random.create(randomSeed + 2 * seedStride), planOptions),
+  ];
   try {
     for (const gateway of gateways) {
       gateway.start();
