Let a caller that still sends its body read the refusal

A caller whose body was refused at its size limit, or timed out, could see a reset instead of the 413 or 408.

Cause: the end of the response closes the connection at once, as it isn't kept; the wait of 500 ms before the connection was destroyed began after that and had no effect. Bytes of the body that arrive unread then reset the connection, and the caller's failing write may be noticed before the response is read.

The response is now whole at once but ended 500 ms later, or when the caller closes, with the body read and dropped meanwhile.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -10,7 +10,7 @@
   type Target,
 } from '@zinniagrade/serving';
 import { RequestBodies } from './request-bodies.js';
-import { sendFailure } from './responses.js';
+import { sendFailure, writeFailure } from './responses.js';
 import type { Call, ServingContext } from './call.js';
 import type { CallerRequest, ReadCallerRequest } from './caller-request.js';
 
@@ -150,6 +150,7 @@
       response: ServerResponse,
       request: CallerRequest | undefined,
       failure: Failure,
+      send = sendFailure,
     ): void => {
       log.decision('refused', {
         request: request?.id,
@@ -159,7 +160,7 @@
         retryAfterMs: failure.retryAfterMs,
       });
       metrics.countDecision(`refused-${failure.kind}`);
-      sendFailure(response, failure);
+      send(response, failure);
     };
 
     const releaseWhenClosed = (response: ServerResponse, body: Buffer): void => {
@@ -172,14 +173,15 @@
       }
     };
 
-    /** Closes the connection of a caller that may never stop to send its body. */
-    const closeAfterRefusal = (message: IncomingMessage, response: ServerResponse): void => {
+    /**
+     * Sends a failure to a caller that may never stop to send its body. The response is whole, but
+     * ended later: the end closes the connection, and a reset for unread bytes may overtake it.
+     */
+    const sendFailureAndLinger = (response: ServerResponse, failure: Failure): void => {
       response.shouldKeepAlive = false;
-      response.once('finish', () => {
-        clock.after(lingerMs, () => {
-          message.socket.destroy();
-        });
-      });
+      writeFailure(response, failure);
+      const cancelEnd = clock.after(lingerMs, () => response.end());
+      response.once('close', cancelEnd);
     };
 
     const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
@@ -197,8 +199,7 @@
         timeoutMs: request.waitsMs ?? defaultCallerTimeoutMs,
       });
       if (!Buffer.isBuffer(body)) {
-        closeAfterRefusal(message, response);
-        refuse(response, request, body);
+        refuse(response, request, body, sendFailureAndLinger);
         return;
       }
       releaseWhenClosed(response, body);
--- a/packages/gateway/src/responses.ts
+++ b/packages/gateway/src/responses.ts
@@ -4,9 +4,23 @@
 
 const msPerSecond = 1000;
 
+/** Writes the problem document (RFC 9457) of a failure. The response has yet to be ended. */
+export const writeFailure = (response: ServerResponse, failure: Failure): void => {
+  const problem = Problem.create(failure);
+  const body = Buffer.from(JSON.stringify(problem));
+  response.writeHead(problem.status, {
+    'content-type': 'application/problem+json',
+    'content-length': body.length,
+    ...(failure.retryAfterMs === undefined
+      ? {}
+      : { 'retry-after': (failure.retryAfterMs / msPerSecond).toFixed(3) }),
+  });
+  response.write(body);
+};
+
 /**
- * Responds with the problem document (RFC 9457) of a failure. If the head was sent, the connection
- * is closed instead; it is reset if the body isn't chunked, as a close in order would complete it.
+ * Responds with a failure. If the head was sent, the connection is closed instead; it is reset if
+ * the body isn't chunked, as a close in order would complete it.
  */
 export const sendFailure = (response: ServerResponse, failure: Failure): void => {
   if (response.headersSent && !response.chunkedEncoding) {
@@ -16,16 +30,8 @@
     response.destroy();
     return;
   }
-  const problem = Problem.create(failure);
-  const body = Buffer.from(JSON.stringify(problem));
-  response.writeHead(problem.status, {
-    'content-type': 'application/problem+json',
-    'content-length': body.length,
-    ...(failure.retryAfterMs === undefined
-      ? {}
-      : { 'retry-after': (failure.retryAfterMs / msPerSecond).toFixed(3) }),
-  });
-  response.end(body);
+  writeFailure(response, failure);
+  response.end();
 };
 
 /** Sends a complete upstream response to the caller. */
