Send messages that are larger than a frame in parts

Cause: nodes that don't watch the store get changes in frames of at most 256 KiB, and a change that fits into none was dropped with a line in the log. Change sets were split between keys, never within a value.

Now a message that is larger than a frame is sent in parts, and the receiving end of the same connection joins them: it arrives whole or not at all. A set of changes is one message again; before, a connection that was replaced between two messages of a set lost the first without a trace. Each part counts as a sign of life of the link.

Evidence: the lines "failed to encode node message" of the three nodes that applied the configuration. Ruled out: the time to read it, as those three were done at once. The same limit held for announcements of state and for the complete state that a node asks others for.

--- a/packages/frames/src/frame-codec.ts
+++ b/packages/frames/src/frame-codec.ts
@@ -2,7 +2,10 @@
 import { Decoder, Encoder } from 'cbor-x';
 import { Either, Left, Right } from 'purify-ts';
 
-/** Maximum length of a frame's body. A peer that exceeds it violates the protocol. */
+/**
+ * Maximum length of a frame's body. A peer that exceeds it violates the protocol. Larger messages are
+ * sent in parts, see `encodeMessage`.
+ */
 export const maxFrameBytes = 256 * 1024;
 
 const lengthBytes = 4;
@@ -10,9 +13,14 @@
 const encoder = new Encoder(options);
 const decoder = new Decoder(options);
 
+export const encodeBody = (message: unknown): Buffer => encoder.encode(message);
+
+/** Throws if the bytes are not valid CBOR. */
+export const decodeBody = (body: Uint8Array): unknown => decoder.decode(body);
+
 /** Encodes a message as a frame: the length in 4 bytes, big endian, then the body in CBOR. */
 export const encodeFrame = (message: unknown): Either<Failure, Buffer> => {
-  const body = encoder.encode(message);
+  const body = encodeBody(message);
   if (body.length > maxFrameBytes) {
     return Left(
       Failure.create(
@@ -61,7 +69,7 @@
             break;
           }
           try {
-            messages.push(decoder.decode(buffered.subarray(offset + lengthBytes, end)));
+            messages.push(decodeBody(buffered.subarray(offset + lengthBytes, end)));
           } catch (error) {
             return fail(`frame body is not valid CBOR: ${String(error)}`);
           }
--- a/packages/frames/src/frame-connection.ts
+++ b/packages/frames/src/frame-connection.ts
@@ -2,6 +2,7 @@
 import { type AddressInfo, type Server, type Socket, connect, createServer } from 'node:net';
 import { Failure } from '@zinniagrade/errors';
 import { encodeFrame, FrameReader } from './frame-codec.js';
+import { encodeMessage, MessageAssembler } from './message-parts.js';
 
 const handshakeTimeoutMs = 2000;
 /** Limit on unsent bytes; a peer that does not read fast enough to stay below it is cut off. */
@@ -14,8 +15,8 @@
   readonly peer: PeerName;
   /** Returns false if the message is too large, the connection closed or its buffer full. */
   readonly send: (message: unknown) => boolean;
-  /** Like `send`, for a frame that is encoded once and sent to several peers. */
-  readonly sendEncoded: (frame: Buffer) => boolean;
+  /** Like `send`, for a message that is encoded once and sent to several peers. */
+  readonly sendEncoded: (message: Buffer) => boolean;
   readonly close: () => void;
   readonly bytesSent: () => number;
   readonly bytesReceived: () => number;
@@ -24,6 +25,8 @@
 export interface ConnectionHandlers {
   readonly onOpen: (connection: FrameConnection) => void;
   readonly onMessage: (connection: FrameConnection, message: unknown) => void;
+  /** Called for each part of a large message, before its last one completes the message. */
+  readonly onPart?: (connection: FrameConnection) => void;
   /** Called once; `failure` says why, and is absent after an orderly close. */
   readonly onClose: (connection: FrameConnection | undefined, failure?: Failure) => void;
 }
@@ -86,6 +89,7 @@
   handlers: ConnectionHandlers,
 ): void => {
   const reader = FrameReader.create();
+  const assembler = MessageAssembler.create();
   const nonce = randomBytes(16).toString('hex');
   let peerHello: Hello | undefined;
   let connection: FrameConnection | undefined;
@@ -100,7 +104,7 @@
     return true;
   };
 
-  const write = (message: unknown): boolean =>
+  const writeHandshake = (message: Hello | Proof): boolean =>
     encodeFrame(message).caseOf({ Left: () => false, Right: writeFrame });
 
   const fail = (detail: string): void => {
@@ -131,11 +135,11 @@
       peer: hello.name,
       send: (message) => {
         failIfBacklogged();
-        return write(message);
+        return encodeMessage(message).caseOf({ Left: () => false, Right: writeFrame });
       },
-      sendEncoded: (frame) => {
+      sendEncoded: (message) => {
         failIfBacklogged();
-        return writeFrame(frame);
+        return writeFrame(message);
       },
       close: () => {
         socket.end();
@@ -147,9 +151,24 @@
     handlers.onOpen(connection);
   };
 
+  const deliver = (openedConnection: FrameConnection, frame: unknown): void => {
+    assembler.add(frame).caseOf({
+      Left: ({ detail }) => {
+        fail(detail);
+      },
+      Right: (arrival) => {
+        if (arrival.kind === 'part') {
+          handlers.onPart?.(openedConnection);
+        } else {
+          handlers.onMessage(openedConnection, arrival.message);
+        }
+      },
+    });
+  };
+
   const onFrame = (message: unknown): void => {
     if (connection !== undefined) {
-      handlers.onMessage(connection, message);
+      deliver(connection, message);
       return;
     }
     if (peerHello === undefined) {
@@ -158,7 +177,7 @@
         fail('handshake failed: the first frame is not a hello');
         return;
       }
-      write({ kind: 'proof', mac: ownProof(peerHello) } satisfies Proof);
+      writeHandshake({ kind: 'proof', mac: ownProof(peerHello) });
       return;
     }
     const proof = parseProof(message);
@@ -194,7 +213,7 @@
     clearTimeout(handshakeTimer);
     handlers.onClose(connection, failure);
   });
-  write({ kind: 'hello', name: settings.name, nonce } satisfies Hello);
+  writeHandshake({ kind: 'hello', name: settings.name, nonce });
 };
 
 /** Connects to a server. `onClose` is also called if the connection never opened. */
--- a/packages/frames/src/frames.test.ts
+++ b/packages/frames/src/frames.test.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net';
 import { expect } from 'chai';
 import { encodeFrame, FrameReader, maxFrameBytes } from './frame-codec.js';
+import { encodeMessage, MessageAssembler, maxMessageBytes } from './message-parts.js';
 import {
   type ConnectionHandlers,
   type FrameConnection,
@@ -42,6 +43,72 @@
   });
 });
 
+/** Sends messages from a client to a server; returns what arrives, and the number of parts before. */
+const deliver = (messages: readonly unknown[]): Promise<[readonly unknown[], number]> =>
+  new Promise((resolve) => {
+    const received: unknown[] = [];
+    let parts = 0;
+    const serverHandlers: ConnectionHandlers = {
+      ...noHandlers,
+      onMessage: (_connection, message) => {
+        received.push(message);
+        if (received.length === messages.length) {
+          resolve([received, parts]);
+          void listening.then((server) => server.close());
+        }
+      },
+      onPart: () => (parts += 1),
+    };
+    const listening = listenFrames(address, { secret: 's', name: 'server' }, serverHandlers);
+    const onOpen = (connection: FrameConnection): void => {
+      for (const message of messages) {
+        connection.send(message);
+      }
+    };
+    void listening.then(({ port }) => {
+      const settings = { secret: 's', name: 'client' };
+      connectFrames({ ...address, port }, settings, { ...noHandlers, onOpen });
+    });
+  });
+
+const partOf = (rest: unknown): object => ({
+  kind: 'message-part',
+  rest,
+  bytes: new Uint8Array(1),
+});
+
+describe('message in parts', () => {
+  it('arrives whole if it is larger than a frame', async () => {
+    // Guards against a store value above the frame limit that reaches no other node.
+    const value = Buffer.alloc(4 * maxFrameBytes, 'x');
+    const [[first, second], parts] = await deliver([{ value }, { after: 1 }]);
+    expect(Buffer.from((first as { value: Uint8Array }).value).equals(value)).to.equal(true);
+    expect(second).to.deep.equal({ after: 1 });
+    expect(parts).to.be.greaterThan(1);
+  });
+
+  it('is refused where it would exceed the memory limit', () => {
+    expect(encodeMessage(Buffer.alloc(maxMessageBytes + 1)).isLeft()).to.equal(true);
+    const assembler = MessageAssembler.create();
+    const bytes = new Uint8Array(maxFrameBytes / 2);
+    const count = (2 * maxMessageBytes) / maxFrameBytes + 1;
+    let isRefused = false;
+    for (let rest = count; rest > 0 && !isRefused; rest -= 1) {
+      isRefused = assembler.add({ kind: 'message-part', rest, bytes }).isLeft();
+    }
+    expect(isRefused).to.equal(true);
+  });
+
+  it('is refused if a part is missing or malformed', () => {
+    // Guards against a message that is joined from parts of two others.
+    const assembler = MessageAssembler.create();
+    expect(assembler.add(partOf(3)).isRight()).to.equal(true);
+    expect(assembler.add(partOf(1)).isLeft()).to.equal(true);
+    expect(MessageAssembler.create().add(partOf(-1)).isLeft()).to.equal(true);
+    expect(MessageAssembler.create().add(partOf(0)).isRight()).to.equal(true);
+  });
+});
+
 describe('frame connection', () => {
   it('delivers messages between ends that share the secret', async () => {
     let onMessage: ConnectionHandlers['onMessage'] = () => undefined;
--- a/packages/frames/src/index.ts
+++ b/packages/frames/src/index.ts
@@ -1,2 +1,3 @@
-export * from './frame-codec.js';
+export { encodeFrame, FrameReader, maxFrameBytes } from './frame-codec.js';
 export * from './frame-connection.js';
+export * from './message-parts.js';
--- a/packages/gateway/src/change-relay.ts
+++ b/packages/gateway/src/change-relay.ts
@@ -39,27 +39,6 @@
  * changes.
  */
 const pullDelayMs = 250;
-/** Frames have a maximum size, so changes are sent in parts of about this size. */
-const maxPartBytes = 128 * 1024;
-
-const splitIntoParts = (items: readonly RelayedChange[]): readonly (readonly RelayedChange[])[] => {
-  const parts: RelayedChange[][] = [];
-  let part: RelayedChange[] = [];
-  let bytes = 0;
-  for (const item of items) {
-    const size = item.key.length + (item.value?.length ?? 0);
-    if (bytes + size > maxPartBytes && part.length > 0) {
-      parts.push(part);
-      part = [];
-      bytes = 0;
-    }
-    part.push(item);
-    bytes += size;
-  }
-  parts.push(part);
-  return parts;
-};
-
 export const ChangeRelay = {
   create: (clock: Clock, options: ChangeRelayOptions): ChangeRelay => {
     const { mirror, linkedNodes, send, isRelay } = options;
@@ -69,13 +48,7 @@
       items: readonly RelayedChange[],
       revision: number,
     ): void => {
-      const parts = splitIntoParts(items);
-      for (const [index, part] of parts.entries()) {
-        // Only the last part carries the revision, as it states that all changes up to there were
-        // sent.
-        const upTo = index === parts.length - 1 ? revision : 0;
-        send(nodes, { kind: 'changes', items: part, revision: upTo });
-      }
+      send(nodes, { kind: 'changes', items, revision });
     };
 
     return {
--- a/packages/gateway/src/node-links.ts
+++ b/packages/gateway/src/node-links.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@zinniagrade/clock';
 import {
   connectFrames,
-  encodeFrame,
+  encodeMessage,
   listenFrames,
   type ConnectionHandlers,
   type FrameConnection,
@@ -80,6 +80,12 @@
         link.lastMessageAtMs = clock.monotonicMs();
         options.onMessage(connection.peer, message);
       },
+      onPart: (connection) => {
+        const link = links.get(connection.peer);
+        if (link?.connection === connection) {
+          link.lastMessageAtMs = clock.monotonicMs();
+        }
+      },
       onClose: (connection, failure) => {
         onClosed();
         if (connection !== undefined) {
@@ -126,8 +132,8 @@
 
     return {
       send: (nodes, message) => {
-        const frame = encodeFrame(encodeNodeMessage(message));
-        frame.caseOf({
+        const encoded = encodeMessage(encodeNodeMessage(message));
+        encoded.caseOf({
           Left: ({ detail }) => {
             log.event('failed to encode node message', { reason: detail, kind: message.kind });
           },
