Continue a stream elsewhere only once its engine has ended the run

Cause: a closed connection was taken for the end of the run. The close may not arrive, and some engines go on.

Now a stream that moves, or whose engine fell silent or was lost, goes on only after the engine's own word over a new connection: the reply to the call that stops the run, the list of runs in its report, or a closed port. An engine that has dropped the run answers in one exchange. Without a word for 0.15 of the caller's patience the engine counts as unreachable; if it goes on to list the run, the stream ends. Silence is noticed after 0.7 of the patience instead of 0.8, so that the word is there before the caller leaves.

Ruled out: that the close is only late, as with engines that keep their runs the overlap lasts to the end of the run.

--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -1,6 +1,8 @@
 import { Failure } from '@zinniagrade/errors';
 import {
+  callerPatienceMs,
   decideRecovery,
+  maxRunEndWaitMs,
   maxSilenceMs,
   recordAnswer,
   type Engine,
@@ -12,6 +14,7 @@
 import type { Call, ServingContext } from './call.js';
 import { watchSilence } from './silence-watch.js';
 import { StreamMigration } from './stream-migration.js';
+import { awaitRunEnd, type RunEnd } from './run-end.js';
 import { canRecover, type Standby } from './standby.js';
 import { StreamAdmission } from './stream-admission.js';
 import { StreamSegment } from './stream-segment.js';
@@ -158,18 +161,45 @@
         maxRuns: route.maxAttempts,
       });
 
-    /** Lets a stream go on after its engine was lost, or ends it. */
-    const recover = (reason: string): void => {
-      mayHaveRun = true;
-      if (!context.guard.allowsRepeat(call)) {
-        logStep('not repeated', segment?.member, 'upstreams were lost on such requests');
-        call.fail(Failure.create('generation-lost', reason));
-        return;
+    /** Closes a segment; resolves when its engine no longer works on it, see `awaitRunEnd`. */
+    const stop = (closing: StreamSegment, target: FleetMember | undefined): Promise<RunEnd> => {
+      closing.close();
+      return awaitRunEnd(context, {
+        upstream: closing.member.upstream,
+        requestId: request.id,
+        begunAtMs: closing.firstEventAtMs(),
+        target: target?.upstream,
+        movable: engine.movable,
+        maxWaitMs: maxRunEndWaitMs(callerPatienceMs(route.goalMs, route.gapGoalMs)),
+      });
+    };
+
+    const endAsLost = (outcome: string, reason: string): void => {
+      logStep(outcome, segment?.member, reason);
+      metrics.countDecision('stream-lost');
+      call.fail(Failure.create('generation-lost', reason));
+    };
+
+    const onNotStopped = (): void => {
+      endAsLost('not stopped', 'the engine goes on with the run and does not stop it');
+    };
+
+    /** Ends the stream if upstreams were lost on requests like it; returns whether it did. */
+    const endIfHarmful = (reason: string): boolean => {
+      if (context.guard.allowsRepeat(call)) {
+        return false;
       }
-      const copy = usableStandby();
+      logStep('not repeated', segment?.member, 'upstreams were lost on such requests');
+      call.fail(Failure.create('generation-lost', reason));
+      return true;
+    };
+
+    /** Continues an interrupted stream, or runs it again; ends it if neither is possible. */
+    const goOn = (reason: string, copyOfStop: RunCopy | undefined): void => {
+      const backup = usableStandby();
       const decision = recovery();
-      if (decision === 'continue-from-copy' && copy !== undefined) {
-        continueAt(copy.holder, copy.copy, reason);
+      if (decision === 'continue-from-copy' && backup !== undefined) {
+        continueAt(backup.holder, copyOfStop ?? backup.copy, reason);
         return;
       }
       if (
@@ -181,9 +211,40 @@
         admit();
         return;
       }
-      logStep('lost', segment?.member, reason);
-      metrics.countDecision('stream-lost');
-      call.fail(Failure.create('generation-lost', reason));
+      endAsLost('lost', reason);
+    };
+
+    /**
+     * Lets a stream go on whose engine was lost, once that engine no longer works on it, or ends the
+     * stream.
+     */
+    const recover = async (lost: StreamSegment, reason: string): Promise<void> => {
+      mayHaveRun = true;
+      if (endIfHarmful(reason)) {
+        return;
+      }
+      if (recovery() === 'end') {
+        endAsLost('lost', reason);
+        return;
+      }
+      const backup = usableStandby();
+      const end = await stop(lost, backup?.holder ?? placement.place(triedEngines, 0));
+      if (call.isEnded()) {
+        return;
+      }
+      if (end.kind === 'running') {
+        onNotStopped();
+        return;
+      }
+      const isForBackup = backup !== undefined && usableStandby() === backup;
+      goOn(reason, isForBackup && end.kind === 'ended' ? end.copy : undefined);
+    };
+
+    const startRecovery = (lost: StreamSegment, reason: string): void => {
+      recover(lost, reason).catch((error: unknown) => {
+        log.event('stream recovery failed', { request: request.id, reason: String(error) });
+        call.fail(Failure.create('generation-lost', reason));
+      });
     };
 
     /** Sends a request that was not executed to another engine, or refuses it. */
@@ -221,7 +282,12 @@
       }
       const canForward = !head.notExecuted && !headSent && head.matchesRequest;
       if (!canForward || recovery() === 'run-again') {
-        recover(`engine responded with status ${String(head.status)}`);
+        mayHaveRun = true;
+        // The response is complete, so the engine is done with the request.
+        const reason = `engine responded with status ${String(head.status)}`;
+        if (!endIfHarmful(reason)) {
+          goOn(reason, undefined);
+        }
         return;
       }
       forwardResponse(response, head, body);
@@ -240,7 +306,7 @@
         context.guard.onEarlyLoss(call, member.upstream.id, sentAtMs);
       }
       if (failure.possiblySent || endedSegment.isContinuation) {
-        recover(failure.reason);
+        startRecovery(endedSegment, failure.reason);
         return;
       }
       endedSegment.member.avoidUntilMs = clock.monotonicMs() + avoidAfterFailureMs;
@@ -331,6 +397,8 @@
     const migration = StreamMigration.create(context, call, placement, progress, {
       segment: () => segment,
       standby: () => standby,
+      stop,
+      onNotStopped,
       continueAt,
       logStep,
     });
@@ -359,8 +427,10 @@
               recovery: recovery(),
             }),
       onSilent: () => {
-        segment?.close();
-        recover('the engine sent no event for too long');
+        if (segment !== undefined) {
+          segment.close();
+          startRecovery(segment, 'the engine sent no event for too long');
+        }
       },
     });
     call.onEnded(stopWatch);
--- a/packages/gateway/src/silence-watch.ts
+++ b/packages/gateway/src/silence-watch.ts
@@ -9,7 +9,7 @@
 }
 
 /** How often a limit that may change is evaluated anew. */
-const checkIntervalMs = 500;
+const checkIntervalMs = 250;
 
 /** Calls `onSilent` each time that nothing progresses for too long. */
 export const watchSilence = (clock: Clock, options: SilenceOptions): Cancel =>
--- a/packages/gateway/src/stream-migration.ts
+++ b/packages/gateway/src/stream-migration.ts
@@ -4,12 +4,17 @@
 import type { StreamSegment } from './stream-segment.js';
 import type { StreamPlacement } from './stream-placement.js';
 import type { StreamProgress } from './stream-progress.js';
+import type { RunEnd } from './run-end.js';
 import type { RunCopy } from './upstream-client.js';
 
 /** Access to the stream that is moved. */
 export interface MigratingStream {
   readonly segment: () => StreamSegment | undefined;
   readonly standby: () => Standby | undefined;
+  /** Closes the segment; resolves when its engine no longer works on it, see `awaitRunEnd`. */
+  readonly stop: (segment: StreamSegment, target: FleetMember) => Promise<RunEnd>;
+  /** Ends the stream, as its engine could not be made to stop its run. */
+  readonly onNotStopped: (segment: StreamSegment) => void;
   readonly continueAt: (holder: FleetMember, copy: RunCopy, reason: string) => void;
   readonly logStep: (outcome: string, member?: FleetMember, detail?: string) => void;
 }
@@ -82,6 +87,24 @@
       return undefined;
     };
 
+    /** Stops the run at its engine and continues it from the copy that the target has. */
+    const switchOver = async (
+      source: StreamSegment,
+      target: FleetMember,
+      copy: RunCopy,
+      reason: string,
+    ): Promise<void> => {
+      const end = await stream.stop(source, target);
+      if (call.isEnded()) {
+        return;
+      }
+      if (end.kind === 'running') {
+        stream.onNotStopped(source);
+        return;
+      }
+      stream.continueAt(target, (end.kind === 'ended' ? end.copy : undefined) ?? copy, reason);
+    };
+
     const moveByCopy = async (source: StreamSegment): Promise<void> => {
       const excluded = new Set([source.member.upstream.id, ...enginesWithoutRoom]);
       const target = placement.place(
@@ -100,8 +123,7 @@
       const copy = await copyTo(source, target);
       if (copy !== undefined) {
         target.ownRuns.delete(copyKey);
-        source.close();
-        stream.continueAt(target, copy, 'copied');
+        await switchOver(source, target, copy, 'copied');
       }
     };
 
@@ -117,8 +139,7 @@
           standby !== undefined &&
           canSwitchOver(standby, context.cluster.withdrawn, clock.monotonicMs())
         ) {
-          source.close();
-          stream.continueAt(standby.holder, standby.copy, reason);
+          await switchOver(source, standby.holder, standby.copy, reason);
         } else {
           await moveByCopy(source);
         }
--- a/packages/gateway/src/upstream-client.ts
+++ b/packages/gateway/src/upstream-client.ts
@@ -82,13 +82,23 @@
   | { readonly outcome: 'no-room'; readonly copy?: RunCopy }
   | { readonly outcome: 'no-such-run' }
   | { readonly outcome: 'busy' }
-  | { readonly outcome: 'unreachable'; readonly failure: Failure };
+  | {
+      readonly outcome: 'unreachable';
+      readonly failure: Failure;
+      /** Whether nothing listens at the upstream's address, so that its runs have ended with it. */
+      readonly processEnded: boolean;
+    };
 
 /** Client for upstreams, with one implementation per upstream protocol. */
 export interface UpstreamClient {
   readonly send: (send: UpstreamRequest, events: ExchangeEvents) => Exchange;
   readonly readEngineLoad: (upstream: Upstream) => Promise<Either<Failure, EngineLoad>>;
-  /** Copies a run's memory to another engine; with `stop`, stops the run first. */
+  /** Ids of the requests that an engine works on, as of some hundred milliseconds ago. */
+  readonly listRuns: (upstream: Upstream) => Promise<Either<Failure, readonly string[]>>;
+  /**
+   * Copies a run's memory to another engine; with `stop`, stops the run first, over a connection of
+   * its own.
+   */
   readonly copyRun: (
     source: Upstream,
     requestId: string,
--- a/packages/serving/src/stream-recovery.ts
+++ b/packages/serving/src/stream-recovery.ts
@@ -53,12 +53,17 @@
  * Share of it after which a stream continues from a copy. It is the last chance: an engine that is
  * short of memory may be silent for seconds and go on, and the copy may be gone.
  */
-const copyPatienceShare = 0.8;
+const copyPatienceShare = 0.7;
+/** Share of it for which a stream waits until its engine is known to have ended the run. */
+const runEndPatienceShare = 0.15;
 
 /** Time without a new event after which callers abandon a stream, in milliseconds. */
 export const callerPatienceMs = (goalMs: number, gapGoalMs: number): number =>
   Math.max(minCallerPatienceMs, goalsOfPatience * goalMs, gapsOfPatience * gapGoalMs);
 
+/** Time for which a stream waits for its engine to confirm that it has ended the run. */
+export const maxRunEndWaitMs = (patienceMs: number): number => patienceMs * runEndPatienceShare;
+
 /**
  * Time without a new event after which a stream is taken away from its engine. This is for engines
  * that stall, or send bytes that complete no event. A stream that can't go on elsewhere keeps its
