Take only requests that can be finished before a leaving node ends

Cause: a leaving node took a stream if half of its route's timeout was left and a call if a second was, whatever such requests take.

Now it takes what its deadline ends in time, or what twice the longest recent duration of its route leaves room for; open requests count with their age. The rest is refused at once as not run. A stream that waits for memory is judged again when it gets it. An upload that is incomplete 1 s before the end is refused, and the process ends only when nothing is open and the store has answered at the same moment; before, it cut what came while it waited for the store. A hedge that finds no second upstream no longer ends the call, whose first attempt goes on.

Ruled out: that the worker was at fault, it would have been done within 0.6 s.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -7,6 +7,7 @@
 import type { MemoryLimits } from './memory-limits.js';
 import type { Metrics } from './metrics.js';
 import type { RequestGuard } from './request-guard.js';
+import type { RouteDurations } from './route-durations.js';
 import type { Rollouts } from './rollouts.js';
 import type { ServiceRecord } from './service-records.js';
 import type { UpstreamClient } from './upstream-client.js';
@@ -46,8 +47,11 @@
    * turn.
    */
   readonly turnDelayMs: () => number;
-  /** Time until this process has to end; undefined unless it is shutting down. */
-  readonly remainingDrainMs: () => number | undefined;
+  readonly durations: RouteDurations;
+  /** Whether this node is shutting down. */
+  readonly isLeaving: () => boolean;
+  /** Whether a call that has not been sent can still be finished; false only if the node leaves. */
+  readonly canFinish: (call: Call) => boolean;
 }
 
 /** A routed request with its complete body, whose caller is waiting for the response. */
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -10,6 +10,7 @@
   type Target,
 } from '@zinniagrade/serving';
 import { RequestBodies } from './request-bodies.js';
+import { createLeavingFailure } from './leaving-failure.js';
 import { sendFailure, writeFailure } from './responses.js';
 import type { Call, ServingContext } from './call.js';
 import type { CallerRequest, ReadCallerRequest } from './caller-request.js';
@@ -23,18 +24,12 @@
  * connection is closed.
  */
 const lingerMs = 500;
-/**
- * A node that shuts down refuses requests that can't complete in time; other nodes can serve them
- * at once.
- */
-const leavingRetryAfterMs = 20;
-
 export interface CallerServerOptions {
   readonly read: ReadCallerRequest;
   readonly serveCall: (call: Call) => void;
   readonly serveStream: (call: Call, engine: Engine) => void;
-  /** Expected time to serve a request of this route. */
-  readonly expectedDurationMs: (route: Route) => number;
+  /** Called with a listener for the time from which a node that shuts down reads no more requests. */
+  readonly onReadingEnds: (listener: () => void) => void;
 }
 
 /** HTTP server for callers: reads and checks requests, and passes them on to be served. */
@@ -66,6 +61,9 @@
     const { clock, log, metrics, cluster } = context;
     const bodies = RequestBodies.create(clock, context.limits.maxRequestBodyBytes);
     let activeRequests = 0;
+    options.onReadingEnds(() => {
+      bodies.stopReading(createLeavingFailure());
+    });
 
     const createCall = (
       request: CallerRequest,
@@ -82,9 +80,11 @@
       const listeners: (() => void)[] = [];
       let ended = false;
       metrics.addOpenRequests(1);
+      const endDuration = context.durations.start(route.name);
       const end = (outcome: string, detail?: string, retryAfterMs?: number): void => {
         ended = true;
         metrics.addOpenRequests(-1);
+        endDuration(outcome === 'complete');
         const tookMs = clock.monotonicMs() - arrivedAtMs;
         metrics.recordResponse(route.name, outcome, tookMs);
         log.decision('answered', {
@@ -248,20 +248,14 @@
         );
         return;
       }
-      const remainingMs = context.remainingDrainMs();
-      if (remainingMs !== undefined) {
+      if (context.isLeaving()) {
         response.shouldKeepAlive = false;
-        if (remainingMs < options.expectedDurationMs(route)) {
-          const failure = Failure.create(
-            'leaving',
-            'this node is shutting down',
-            leavingRetryAfterMs,
-          );
-          refuse(response, request, failure);
-          return;
-        }
       }
       const call = createCall(request, body, response, route, service, account, arrivedAtMs);
+      if (!context.canFinish(call)) {
+        call.fail(createLeavingFailure());
+        return;
+      }
       if (route.kind === 'streaming' && service.engine !== undefined) {
         options.serveStream(call, service.engine);
       } else {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import type { Server } from 'node:http';
 import { Random, type Clock } from '@zinniagrade/clock';
-import { isBelowColdLimit, quarantineMs, type FleetMember, type Route } from '@zinniagrade/serving';
+import { isBelowColdLimit, quarantineMs, type FleetMember } from '@zinniagrade/serving';
 import type { ServingContext } from './call.js';
 import { chooseAddresses, createDirectoryServer } from './directory.js';
 import { CallerServer } from './caller-server.js';
@@ -20,6 +20,7 @@
 import { decideRestoredEntry } from './restored-entry.js';
 import { RequestGuard } from './request-guard.js';
 import { Rollouts } from './rollouts.js';
+import { RouteDurations } from './route-durations.js';
 import { serveCall } from './serve-call.js';
 import { ServiceRecords } from './service-records.js';
 import type { GatewaySettings } from './settings.js';
@@ -42,8 +43,6 @@
   readonly shutDown: () => Promise<void>;
 }
 
-/** Expected duration of a plain request; a node that ends earlier than this refuses it. */
-const plainRequestDurationMs = 1000;
 const sweepIntervalMs = 1000;
 /** Time that links to all nodes need to open after the mirror is complete. */
 const linksSettleMs = 2500;
@@ -57,6 +56,7 @@
     const random = Random.create(randomBytes(4).readInt32LE());
     const serviceRecords = ServiceRecords.create(settings.retries);
     const shutdown = Shutdown.create(clock, () => settings.graceMs);
+    const durations = RouteDurations.create(clock);
     let mirrorCompleteAtMs: number | undefined;
 
     const peers: NodePeers = NodePeers.create(clock, log, cluster, {
@@ -189,7 +189,13 @@
           ),
       onUseChanged: peers.onUseChanged,
       turnDelayMs: peers.turnDelayMs,
-      remainingDrainMs: shutdown.remainingMs,
+      durations,
+      isLeaving: shutdown.hasBegun,
+      canFinish: (call) =>
+        shutdown.canFinish({
+          maxMs: call.deadlineAtMs - clock.monotonicMs(),
+          recentMs: durations.longestMs(call.route.name),
+        }),
     };
 
     const engineDrainer: EngineDrainer = EngineDrainer.create(context);
@@ -202,13 +208,9 @@
         }
       },
     });
-    const expectedDurationMs = (route: Route): number =>
-      route.kind === 'streaming'
-        ? Math.max(plainRequestDurationMs, route.timeoutMs / 2)
-        : plainRequestDurationMs;
     const callerServer = CallerServer.create(context, {
       read: platform.readCallerRequest,
-      expectedDurationMs,
+      onReadingEnds: shutdown.onReadingEnds,
       serveCall: (call) => {
         serveCall(context, call);
       },
@@ -323,7 +325,10 @@
         });
         // No connection is accepted from here on; requests on open ones are still served.
         callerServer.server.close();
-        await Promise.all([shutdown.whenIdle(callerServer.activeRequests), registration.end()]);
+        let isRegistered = true;
+        void registration.end().finally(() => (isRegistered = false));
+        // Requests that arrive while the store has not answered are served too.
+        await shutdown.whenIdle(() => !isRegistered && callerServer.activeRequests() === 0);
         log.event('stopped', { open: callerServer.activeRequests() });
         stopTicks();
         loadPolling.stop();
--- a/packages/gateway/src/request-bodies.ts
+++ b/packages/gateway/src/request-bodies.ts
@@ -16,22 +16,30 @@
    * fails. Bytes count from their arrival until `release`.
    */
   readonly read: (message: IncomingMessage, limits: BodyLimits) => Promise<Buffer | Failure>;
+  /** Refuses the bodies that are being read, and later ones that don't arrive with their head. */
+  readonly stopReading: (failure: Failure) => void;
   /** To be called once for each body that was read, when it is no longer needed. */
   readonly release: (body: Buffer) => void;
 }
 
 /** Retry delay when the memory is full; some requests have ended by then and freed theirs. */
 const memoryFullRetryAfterMs = 500;
+/** Time for a body after `stopReading`; one that is sent with its head is there by then. */
+const stoppedTimeoutMs = 50;
 
 export const RequestBodies = {
   create: (clock: Clock, maxTotalBytes: number): RequestBodies => {
     let totalBytes = 0;
+    let stopped: Failure | undefined;
+    /** Refuse the bodies that are being read. */
+    const pending = new Set<(failure: Failure) => void>();
 
     const read: RequestBodies['read'] = (message, { maxBytes, timeoutMs }) =>
       new Promise((resolve, reject) => {
         const chunks: Buffer[] = [];
         let size = 0;
         const stop = (): void => {
+          pending.delete(refuse);
           cancelTimeout();
           totalBytes -= size;
           size = 0;
@@ -57,11 +65,15 @@
           totalBytes += chunk.length;
           chunks.push(chunk);
         };
-        const cancelTimeout = clock.after(timeoutMs, () => {
-          refuse(Failure.create('request-timeout', 'the request body did not arrive in time'));
+        const allowedMs = stopped === undefined ? timeoutMs : Math.min(timeoutMs, stoppedTimeoutMs);
+        const cancelTimeout = clock.after(allowedMs, () => {
+          const detail = 'the request body did not arrive in time';
+          refuse(stopped ?? Failure.create('request-timeout', detail));
         });
+        pending.add(refuse);
         message.on('data', onData);
         message.once('end', () => {
+          pending.delete(refuse);
           cancelTimeout();
           resolve(Buffer.concat(chunks));
         });
@@ -76,6 +88,12 @@
 
     return {
       read,
+      stopReading: (failure) => {
+        stopped = failure;
+        for (const refuse of [...pending]) {
+          refuse(failure);
+        }
+      },
       release: (body) => {
         totalBytes -= body.length;
       },
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -207,7 +207,10 @@
       context.random,
     );
     if (member === undefined) {
-      endUnserved();
+      // A second attempt that finds no upstream must not end the first one.
+      if (attempts.size === 0) {
+        endUnserved();
+      }
       return;
     }
     const { upstream } = member;
--- a/packages/gateway/src/shutdown.ts
+++ b/packages/gateway/src/shutdown.ts
@@ -1,5 +1,13 @@
 import type { Clock } from '@zinniagrade/clock';
 
+/** What is known of the time that a request needs. */
+export interface ExpectedDuration {
+  /** Time until its deadline, by which it gets an answer in any case. */
+  readonly maxMs: number;
+  /** Longest duration of such requests lately; undefined if it is not known. */
+  readonly recentMs: number | undefined;
+}
+
 /** Whether this process is shutting down, and the time that it has left for open requests. */
 export interface Shutdown {
   /** Starts the grace period; has no effect if it has already started. */
@@ -7,13 +15,21 @@
   readonly hasBegun: () => boolean;
   /** Time until this process has to end; undefined unless it is shutting down. */
   readonly remainingMs: () => number | undefined;
-  /** Resolves when no request is open any more, or no time remains. */
-  readonly whenIdle: (openRequests: () => number) => Promise<void>;
+  /** Whether a request can be finished in the time that is left. */
+  readonly canFinish: (duration: ExpectedDuration) => boolean;
+  /** Calls the listener once, when too little time remains to read the rest of a request. */
+  readonly onReadingEnds: (listener: () => void) => void;
+  /** Resolves when nothing is open any more, or no time remains. */
+  readonly whenIdle: (isIdle: () => boolean) => Promise<void>;
 }
 
 const idleCheckIntervalMs = 50;
 /** A node completes its shutdown this long before it is killed. */
 const shutdownMarginMs = 400;
+/** Requests that begin now may take longer than recent ones by this factor, as load varies. */
+const durationMargin = 2;
+/** Requests that are not read by then are refused, which takes their callers some time to read. */
+const readingEndsBeforeMs = 1000;
 
 export const Shutdown = {
   /** `graceMs` is the time from the stop signal until the process is killed. */
@@ -25,16 +41,34 @@
         ? undefined
         : Math.max(0, beganAtMs + graceMs() - shutdownMarginMs - clock.monotonicMs());
 
+    const readingListeners: (() => void)[] = [];
+
+    const endReading = (): void => {
+      for (const listener of readingListeners) {
+        listener();
+      }
+    };
+
     return {
       begin: () => {
-        beganAtMs ??= clock.monotonicMs();
+        if (beganAtMs === undefined) {
+          beganAtMs = clock.monotonicMs();
+          clock.after(Math.max(0, graceMs() - shutdownMarginMs - readingEndsBeforeMs), endReading);
+        }
+      },
+      canFinish: ({ maxMs, recentMs }) => {
+        const leftMs = remainingMs() ?? Infinity;
+        return leftMs >= maxMs || (recentMs !== undefined && leftMs >= recentMs * durationMargin);
+      },
+      onReadingEnds: (listener) => {
+        readingListeners.push(listener);
       },
       hasBegun: () => beganAtMs !== undefined,
       remainingMs,
-      whenIdle: (openRequests) =>
+      whenIdle: (isIdle) =>
         new Promise((resolve) => {
           const cancel = clock.every(idleCheckIntervalMs, () => {
-            if (openRequests() === 0 || remainingMs() === 0) {
+            if (isIdle() || remainingMs() === 0) {
               cancel();
               resolve();
             }
--- a/packages/gateway/src/stream-admission.ts
+++ b/packages/gateway/src/stream-admission.ts
@@ -1,6 +1,7 @@
 import { Failure } from '@zinniagrade/errors';
 import type { Admission, FleetMember } from '@zinniagrade/serving';
 import type { Call, ServingContext } from './call.js';
+import { createLeavingFailure } from './leaving-failure.js';
 import type { StreamPlacement } from './stream-placement.js';
 
 /** Admits a stream, delays it for a short time, or refuses it. */
@@ -78,6 +79,11 @@
         onRefused(refusal, refusal.kind);
         return;
       }
+      if (!call.response.headersSent && !context.canFinish(call)) {
+        // The request has waited for memory while this node began to shut down.
+        onRefused(createLeavingFailure(), 'leaving');
+        return;
+      }
       const admission = decideAdmission(excluded);
       switch (admission.kind) {
         case 'placed':
