Know a store revision only with all changes before it

Cause: a pushed change carried its own revision only, and its receiver took that for all changes up to it. Any push after a gap hid the gap.

Now a set of changes states the revision that it follows. A receiver that doesn't know that one stays behind and asks; relays forward sets as they came. A node that is behind for 0.8 to 1.2 s reads the store itself, one call each at its own time, and lists it if the history is gone. Heartbeats carry a digest of the entries held, and a node that differs from its neighbour at the same revision for 8 s lists the store. A node without the store is complete only with the changes from the start.

Ruled out: that the evacuation was applied and undone.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -59,7 +59,7 @@
     const durations = RouteDurations.create(clock);
     let mirrorCompleteAtMs: number | undefined;
 
-    const peers: NodePeers = NodePeers.create(clock, log, cluster, {
+    const peers: NodePeers = NodePeers.create(clock, random, log, cluster, {
       self: {
         node: settings.node,
         dataCentre: settings.dataCentre,
--- a/packages/gateway/src/held-changes.ts
+++ b/packages/gateway/src/held-changes.ts
@@ -5,6 +5,7 @@
 export interface HeldChanges {
   /** Holds a change; one of the same key that is held already is replaced and keeps its time. */
   readonly hold: (change: RelayedChange, delayMs: number) => void;
+  readonly has: (key: string) => boolean;
   /** Forgets the change of a key. */
   readonly cancel: (key: string) => void;
 }
@@ -38,6 +39,7 @@
           });
         }
       },
+      has: (key) => held.has(key),
       cancel: (key) => {
         held.delete(key);
       },
--- a/packages/gateway/src/mirror-items.test.ts
+++ b/packages/gateway/src/mirror-items.test.ts
@@ -38,4 +38,33 @@
       { key: 'gone', revision: 6 },
     ]);
   });
+
+  it('does not return changes if removals since then are forgotten', () => {
+    // Guards against a node that keeps an upstream which was removed long ago.
+    const items = MirrorItems.create();
+    for (let index = 1; index <= 2002; index += 1) {
+      items.set(`k${String(index)}`, value, 2 * index);
+      items.remove(`k${String(index)}`, 2 * index + 1);
+    }
+    expect(items.changesAfter(4)).to.equal(undefined);
+    expect(items.changesAfter(4000)).not.to.equal(undefined);
+    expect(items.changesAfter(0)).not.to.equal(undefined);
+  });
+
+  it('has the same digest for the same entries, in whatever order they came', () => {
+    // Guards against nodes that hold different entries at the same revision and don't notice it.
+    const first = MirrorItems.create();
+    const second = MirrorItems.create();
+    first.set('a', value, 1);
+    first.set('b', value, 2);
+    first.set('a', value, 3);
+    first.set('c', value, 4);
+    second.set('b', value, 2);
+    second.set('a', value, 3);
+    expect(first.digest()).not.to.equal(second.digest());
+    first.remove('c', 5);
+    expect(first.digest()).to.equal(second.digest());
+    second.remove('b', 6);
+    expect(first.digest()).not.to.equal(second.digest());
+  });
 });
--- a/packages/gateway/src/mirror-items.ts
+++ b/packages/gateway/src/mirror-items.ts
@@ -1,3 +1,4 @@
+import { hash32 } from '@zinniagrade/membership';
 import { Revision } from './metadata-store.js';
 import type { RelayedChange } from './node-message.js';
 
@@ -14,8 +15,13 @@
   readonly valueOf: (key: string) => Buffer | undefined;
   /** Revision of the last known change or removal of a key; 0 if it was never known. */
   readonly revisionOf: (key: string) => Revision;
-  /** Values and removals after a revision, for a node that doesn't get them from the store. */
-  readonly changesAfter: (revision: Revision) => readonly RelayedChange[];
+  /**
+   * Values and removals after a revision, for a node that doesn't get them from the store; undefined
+   * if removals since then are no longer known.
+   */
+  readonly changesAfter: (revision: Revision) => readonly RelayedChange[] | undefined;
+  /** Digest of all keys and their revisions, without the removed ones. */
+  readonly digest: () => number;
 }
 
 /**
@@ -36,6 +42,23 @@
   create: (): MirrorItems => {
     const items = new Map<string, Item>();
     const removals = new Map<string, Revision>();
+    /** Latest removal that is no longer recorded. */
+    let forgottenRevision: Revision = 0;
+    let digest = 0;
+
+    /** Sums of hashes don't depend on the order in which changes arrive. */
+    const toggleInDigest = (key: string, revision: Revision, sign: 1 | -1): void => {
+      digest = (digest + sign * hash32(`${key}@${String(revision)}`)) >>> 0;
+    };
+
+    const forgetValue = (key: string): boolean => {
+      const known = items.get(key);
+      if (known === undefined) {
+        return false;
+      }
+      toggleInDigest(key, known.revision, -1);
+      return items.delete(key);
+    };
 
     const lastRevision = (key: string): Revision =>
       Math.max(items.get(key)?.revision ?? 0, removals.get(key) ?? 0);
@@ -43,10 +66,11 @@
     const recordRemoval = (key: string, revision: Revision): void => {
       removals.delete(key);
       removals.set(key, revision);
-      for (const oldest of removals.keys()) {
+      for (const [oldest, removedAt] of removals) {
         if (removals.size <= maxRecordedRemovals) {
           break;
         }
+        forgottenRevision = Math.max(forgottenRevision, removedAt);
         removals.delete(oldest);
       }
     };
@@ -59,7 +83,9 @@
         }
         const isRestored = Revision.eraOf(revision) > Revision.eraOf(before);
         const isSame = items.get(key)?.value.equals(value) === true;
+        forgetValue(key);
         items.set(key, { value, revision });
+        toggleInDigest(key, revision, 1);
         removals.delete(key);
         return isRestored && isSame ? 'confirmed' : 'changed';
       },
@@ -68,12 +94,15 @@
           return false;
         }
         recordRemoval(key, revision);
-        return items.delete(key);
+        return forgetValue(key);
       },
       keys: () => [...items.keys()],
       valueOf: (key) => items.get(key)?.value,
       revisionOf: lastRevision,
       changesAfter: (revision) => {
+        if (revision > 0 && revision < forgottenRevision) {
+          return undefined;
+        }
         const changes: RelayedChange[] = [];
         for (const [key, item] of items) {
           if (item.revision > revision) {
@@ -87,6 +116,7 @@
         }
         return changes;
       },
+      digest: () => digest,
     };
   },
 };
--- a/packages/gateway/src/node-links.test.ts
+++ b/packages/gateway/src/node-links.test.ts
@@ -54,6 +54,7 @@
     first?.links.send(['n2'], {
       kind: 'changes',
       items: [{ key: 'a', revision: 7, value }],
+      after: 6,
       revision: 7,
     });
     first?.links.send(['n2'], { kind: 'pull', after: 7 });
--- a/packages/gateway/src/node-message.ts
+++ b/packages/gateway/src/node-message.ts
@@ -13,6 +13,14 @@
   readonly value?: Buffer;
 }
 
+/** Store changes that lead from one revision to a later one. */
+export interface ChangeSet {
+  readonly items: readonly RelayedChange[];
+  /** A node that knows all changes up to here knows all up to `revision` with these items. */
+  readonly after: number;
+  readonly revision: number;
+}
+
 /**
  * How a node learns of store changes: `watching` the store, `fed` by other nodes, or `lost` (store
  * unavailable).
@@ -72,14 +80,12 @@
       readonly alive?: readonly string[];
       /** Store revision up to which the sender knows all changes. */
       readonly revision: number;
+      /** Digest of what the sender holds of the store; equal if two nodes hold the same. */
+      readonly digest?: number;
     })
   /** Requests the store changes after a revision. */
   | { readonly kind: 'pull'; readonly after: number }
-  | {
-      readonly kind: 'changes';
-      readonly items: readonly RelayedChange[];
-      readonly revision: number;
-    };
+  | (ChangeSet & { readonly kind: 'changes' });
 
 const reportSchema = z.object({
   target: z.string(),
@@ -111,6 +117,8 @@
         value: z.instanceof(Uint8Array).optional(),
       }),
     ),
+    // Nodes of an earlier version don't state it, so what they send leaves no node up to date.
+    after: z.number().default(Infinity),
     revision: z.number(),
   }),
 ]);
@@ -240,6 +248,7 @@
   limits: toRow(fields.limits ?? []).map(toLimit),
   ...(fields.alive === undefined ? {} : { alive: toRow(fields.alive).map(toText) }),
   revision: toNumber(fields.revision),
+  ...(fields.digest === undefined ? {} : { digest: toNumber(fields.digest) }),
 });
 
 const toRareMessage = (document: unknown): NodeMessage | undefined => {
--- a/packages/gateway/src/node-peers.ts
+++ b/packages/gateway/src/node-peers.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@zinniagrade/clock';
+import type { Clock, Random } from '@zinniagrade/clock';
 import { chooseByRendezvous } from '@zinniagrade/membership';
 import {
   followsStore,
@@ -11,12 +11,13 @@
   type UpstreamUse,
 } from '@zinniagrade/serving';
 import { ChangeRelay } from './change-relay.js';
+import { DivergenceCheck } from './divergence-check.js';
 import type { Log } from './log.js';
 import { PeerBroadcast } from './peer-broadcast.js';
 import { NodeLinks } from './node-links.js';
 import type { KeyFinding } from './request-guard.js';
 import type { LimitFinding } from './stated-limits.js';
-import type { NodeMessage, RelayedChange } from './node-message.js';
+import type { ChangeSet, NodeMessage } from './node-message.js';
 import type { StoreMirror } from './store-mirror.js';
 import type { NodeEntry, ClusterState } from './cluster-state.js';
 
@@ -65,7 +66,7 @@
   /** Requests store changes from the connected nodes. */
   readonly requestChanges: () => void;
   /** Sends store changes to connected nodes. */
-  readonly pushChanges: (items: readonly RelayedChange[], revision: number) => void;
+  readonly pushChanges: (changes: ChangeSet) => void;
   /** Other nodes that messages arrive from, directly or via relays. */
   readonly aliveNodes: () => ReadonlySet<string>;
   readonly close: () => void;
@@ -99,7 +100,13 @@
 });
 
 export const NodePeers = {
-  create: (clock: Clock, log: Log, cluster: ClusterState, options: NodePeersOptions): NodePeers => {
+  create: (
+    clock: Clock,
+    random: Random,
+    log: Log,
+    cluster: ClusterState,
+    options: NodePeersOptions,
+  ): NodePeers => {
     const { self } = options;
     const peerUse = PeerUse.create();
     let knownTopology: Topology | undefined = Topology.create(self, []);
@@ -155,6 +162,7 @@
       ownUses,
       storeAccess: () => options.mirror().storeAccess(),
       revision: () => options.mirror().revision(),
+      digest: () => options.mirror().digest(),
       onState: ({ node, uses }) => {
         peerUse.update(node, uses);
       },
@@ -168,13 +176,15 @@
     });
 
     const isRelay = (): boolean => !topology().isMesh && topology().relays.includes(self.node);
-    const changeRelay = ChangeRelay.create(clock, {
+    const changeRelay = ChangeRelay.create(clock, random, log, {
       mirror: options.mirror,
       linkedNodes,
       send,
       isRelay,
     });
 
+    const divergence = DivergenceCheck.create(clock, random, log, options.mirror);
+
     const relayBatchDelayMs = (): number =>
       Math.min(
         maxRelayBatchDelayMs,
@@ -198,6 +208,14 @@
         case 'state':
           broadcast.receive(node, message);
           changeRelay.pullIfBehind(node, message.revision);
+          if (message.digest !== undefined) {
+            divergence.compare({
+              node,
+              revision: message.revision,
+              digest: message.digest,
+              watchesStore: broadcast.states().get(node)?.store === 'watching',
+            });
+          }
           if (isRelay()) {
             scheduleFlush();
           }
@@ -206,7 +224,7 @@
           changeRelay.answerPull(node, message.after);
           return;
         case 'changes':
-          changeRelay.receiveChanges(node, message.items, message.revision);
+          changeRelay.receiveChanges(node, message);
       }
     };
 
--- a/packages/gateway/src/peer-broadcast.ts
+++ b/packages/gateway/src/peer-broadcast.ts
@@ -31,6 +31,8 @@
   readonly ownUses: () => readonly UpstreamUse[];
   readonly storeAccess: () => StoreAccess;
   readonly revision: () => number;
+  /** Digest of the store's entries that this node holds. */
+  readonly digest: () => number;
   /** Called with each newer state of another node. */
   readonly onState: (state: NodeState) => void;
   /** Called with a load that another node has read, and the time of reading. */
@@ -154,6 +156,7 @@
         ...updates,
         ...(aliveList === undefined ? {} : { alive: aliveList }),
         revision: options.revision(),
+        digest: options.digest(),
       });
     };
 
--- a/packages/gateway/src/store-mirror.ts
+++ b/packages/gateway/src/store-mirror.ts
@@ -4,7 +4,7 @@
 import type { LostEntry } from './lost-entries.js';
 import { Revision, type MetadataStore } from './metadata-store.js';
 import { MirrorItems } from './mirror-items.js';
-import type { RelayedChange, StoreAccess } from './node-message.js';
+import type { ChangeSet, RelayedChange, StoreAccess } from './node-message.js';
 import type { RestoredEntryDecision } from './restored-entry.js';
 
 /** Prefix to mirror, and callbacks. */
@@ -36,8 +36,16 @@
   readonly onStoreUnavailable: () => void;
   /** Whether this node watches the store itself; otherwise it gets changes from other nodes. */
   readonly watchesStore: () => boolean;
-  /** Called with changes from the store that were new to this node. */
-  readonly onStoreChanges: (changes: readonly RelayedChange[], revision: Revision) => void;
+  /** Called with changes from the store, if any of them were new to this node. */
+  readonly onStoreChanges: (changes: ChangeSet) => void;
+}
+
+/** Effect of changes that another node sent. */
+export interface MergeOutcome {
+  /** Whether this node has learned something. */
+  readonly isNew: boolean;
+  /** Whether changes before these are unknown to this node. */
+  readonly hasGap: boolean;
 }
 
 /**
@@ -50,13 +58,16 @@
   readonly isComplete: () => boolean;
   /** Revision up to which the store's changes are known. */
   readonly revision: () => Revision;
-  /** Changes after a revision, to send to another node. */
-  readonly changesAfter: (revision: Revision) => readonly RelayedChange[];
-  /** Applies changes received from another node; returns those that were new. */
-  readonly mergeFromNode: (
-    items: readonly RelayedChange[],
-    revision: Revision,
-  ) => readonly RelayedChange[];
+  /** Changes after a revision, to send to another node; undefined if some are no longer known. */
+  readonly changesAfter: (revision: Revision) => ChangeSet | undefined;
+  /** Digest of the entries that this node holds. */
+  readonly digest: () => number;
+  /** Applies changes received from another node. */
+  readonly mergeFromNode: (changes: ChangeSet) => MergeOutcome;
+  /** Has a node that doesn't watch the store read the changes from it that it has missed. */
+  readonly catchUp: () => void;
+  /** Reads all entries again, as this node holds others than the store. */
+  readonly readAgain: () => void;
   readonly storeAccess: () => StoreAccess;
   readonly stop: () => void;
 }
@@ -81,6 +92,9 @@
     let availableAgainAtMs = -Infinity;
     let retryDelayMs = initialRetryDelayMs;
     let watching = false;
+    /** Whether a node that is fed by others has to read from the store itself. */
+    let mustRead = false;
+    let mustList = false;
 
     /** Applies a change; one that can't be applied must not keep out the changes after it. */
     const notify = (key: string, value: Buffer | undefined, revision: Revision): void => {
@@ -119,7 +133,7 @@
       log.event('held store change applied', { key, revision, removed: value === undefined });
       const isNew = value === undefined ? remove(key, revision) : applyValue(key, value, revision);
       if (isNew) {
-        options.onStoreChanges([change], knownRevision);
+        options.onStoreChanges({ items: [change], after: knownRevision, revision: knownRevision });
       }
     });
 
@@ -218,24 +232,35 @@
       if (complete && Revision.eraOf(revision) > Revision.eraOf(knownRevision)) {
         log.event('store restored', { revision, before: knownRevision });
       }
+      const before = knownRevision;
       const newChanges = applyAll(settleListed([...items, ...removals]));
       advanceTo(revision);
-      if (complete) {
-        options.onStoreChanges(newChanges, revision);
+      mustRead = false;
+      if (complete && newChanges.length > 0) {
+        // What this node had missed may be older than the revision that it knew.
+        const later = mirrored.changesAfter(before) ?? [];
+        const items = new Map([...newChanges, ...later].map((change) => [change.key, change]));
+        options.onStoreChanges({ items: [...items.values()], after: before, revision });
       }
       complete = true;
     };
 
     const watchFrom = async (after: Revision): Promise<void> => {
       const isFirst = unavailableSinceMs !== undefined;
-      const waitMs = isFirst ? firstWatchTimeoutMs : watchTimeoutMs;
+      const waitMs = isFirst || mustRead ? firstWatchTimeoutMs : watchTimeoutMs;
       const outcome = await store.watch(options.prefix, after, waitMs);
       switch (outcome.outcome) {
-        case 'events':
+        case 'events': {
           recordAvailable();
-          advanceTo(Math.max(after, outcome.revision));
-          options.onStoreChanges(applyAll(outcome.events), knownRevision);
+          const revision = Math.max(after, outcome.revision);
+          advanceTo(revision);
+          mustRead = false;
+          if (applyAll(outcome.events).length > 0) {
+            const items = outcome.events.filter(({ key }) => !held.has(key));
+            options.onStoreChanges({ items, after, revision });
+          }
           return;
+        }
         case 'history-lost':
           recordAvailable();
           log.event('store history lost', { after });
@@ -256,10 +281,15 @@
 
     const run = async (): Promise<void> => {
       while (!stopped) {
-        if (complete && unavailableSinceMs === undefined && !options.watchesStore()) {
+        const isFed = complete && unavailableSinceMs === undefined && !options.watchesStore();
+        if (isFed && !mustRead) {
           await waitWhileRelayed();
           continue;
         }
+        if (mustList) {
+          mustList = false;
+          watchRevision = undefined;
+        }
         try {
           await (watchRevision === undefined ? listAll() : watchFrom(watchRevision));
         } catch (error) {
@@ -267,7 +297,7 @@
           watchRevision = undefined;
           await backOffUnavailable(String(error));
         }
-        watching = unavailableSinceMs === undefined;
+        watching = unavailableSinceMs === undefined && options.watchesStore();
       }
     };
     void run();
@@ -275,15 +305,35 @@
     return {
       isComplete: () => complete,
       revision: () => knownRevision,
-      changesAfter: (revision) => mirrored.changesAfter(revision),
-      mergeFromNode: (items, revision) => {
+      changesAfter: (revision) => {
+        const items = mirrored.changesAfter(revision);
+        return items === undefined
+          ? undefined
+          : { items, after: revision, revision: knownRevision };
+      },
+      digest: mirrored.digest,
+      mergeFromNode: ({ items, after, revision }) => {
         const newChanges = applyAll(items);
-        if (unavailableSinceMs !== undefined && revision > knownRevision) {
-          log.event('store state received from another node', { revision, before: knownRevision });
+        const hasGap = after > knownRevision;
+        const isAhead = !hasGap && revision > knownRevision;
+        if (isAhead) {
+          if (unavailableSinceMs !== undefined) {
+            log.event('store state received from another node', {
+              revision,
+              before: knownRevision,
+            });
+          }
+          knownRevision = revision;
+          complete = true;
         }
-        knownRevision = Math.max(knownRevision, revision);
-        complete ||= revision > 0;
-        return newChanges;
+        return { isNew: newChanges.length > 0 || isAhead, hasGap };
+      },
+      catchUp: () => {
+        mustRead ||= !watching;
+      },
+      readAgain: () => {
+        mustRead ||= !watching;
+        mustList = true;
       },
       storeAccess: () =>
         unavailableSinceMs !== undefined ? 'lost' : watching ? 'watching' : 'fed',
