--- a/packages/gateway/src/bounded-body.ts
+++ b/packages/gateway/src/bounded-body.ts
@@ -1,24 +1,65 @@
 /** Collects the chunks of a body up to a size limit. */
 export interface BoundedBody {
   /** False, and the chunk is dropped, if the body would exceed the limit. */
-  readonly add: (chunk: Buffer) => boolean;
+  readonly add: (chunk: Uint8Array) => boolean;
   readonly toBuffer: () => Buffer;
+  /** Frees the memory; to be called once the body is no longer needed. */
+  readonly release: () => void;
 }
 
+/** Memory that bodies share. */
+export interface BodyMemory {
+  /** False if the memory is full. */
+  readonly take: (bytes: number) => boolean;
+  readonly free: (bytes: number) => void;
+}
+
+export const BodyMemory = {
+  create: (maxBytes: number): BodyMemory => {
+    let usedBytes = 0;
+    return {
+      take: (bytes) => {
+        if (usedBytes + bytes > maxBytes) {
+          return false;
+        }
+        usedBytes += bytes;
+        return true;
+      },
+      free: (bytes) => {
+        usedBytes -= bytes;
+      },
+    };
+  },
+};
+
+/** Not counted in shared memory, so that a few large bodies don't keep out the many small ones. */
+const uncountedBytes = 32 * 1024;
+
 export const BoundedBody = {
-  create: (maxBytes: number): BoundedBody => {
-    const chunks: Buffer[] = [];
+  /** `memory` is the memory that the body shares with others, if any. */
+  create: (maxBytes: number, memory?: BodyMemory): BoundedBody => {
+    const chunks: Uint8Array[] = [];
     let size = 0;
+    let countedBytes = 0;
     return {
       add: (chunk) => {
-        if (size + chunk.length > maxBytes) {
+        const newSize = size + chunk.length;
+        const newCountedBytes = Math.max(0, newSize - uncountedBytes);
+        const isTooLarge = newSize > maxBytes;
+        if (isTooLarge || memory?.take(newCountedBytes - countedBytes) === false) {
           return false;
         }
-        size += chunk.length;
+        size = newSize;
+        countedBytes = newCountedBytes;
         chunks.push(chunk);
         return true;
       },
       toBuffer: () => Buffer.concat(chunks),
+      release: () => {
+        memory?.free(countedBytes);
+        countedBytes = 0;
+        chunks.length = 0;
+      },
     };
   },
 };
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -2,6 +2,7 @@
 import type { Clock, Random } from '@zinniagrade/clock';
 import type { Failure } from '@zinniagrade/errors';
 import type { ClientAccount, FleetMember, Route, Service, UpstreamUse } from '@zinniagrade/serving';
+import type { BodyMemory } from './bounded-body.js';
 import type { CallerRequest } from './caller-request.js';
 import type { Log } from './log.js';
 import type { MemoryLimits } from './memory-limits.js';
@@ -25,6 +26,8 @@
   readonly cluster: ClusterState;
   readonly client: UpstreamClient;
   readonly limits: MemoryLimits;
+  /** Memory of all responses that are buffered. */
+  readonly responseMemory: BodyMemory;
   /** Retry budget and statistics that this node keeps for a service. */
   readonly recordOf: (service: string) => ServiceRecord;
   readonly nodeCount: () => number;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import type { Server } from 'node:http';
 import { Random, type Clock } from '@zinniagrade/clock';
 import { isBelowColdLimit, quarantineMs, type FleetMember } from '@zinniagrade/serving';
+import { BodyMemory } from './bounded-body.js';
 import type { ServingContext } from './call.js';
 import { chooseAddresses, createDirectoryServer } from './directory.js';
 import { CallerServer } from './caller-server.js';
@@ -163,6 +164,7 @@
       },
     });
 
+    const limits = MemoryLimits.create(settings.memoryBytes);
     const context: ServingContext = {
       dataCentre: settings.dataCentre,
       clock,
@@ -171,7 +173,8 @@
       metrics,
       cluster,
       client: platform.upstreams,
-      limits: MemoryLimits.create(settings.memoryBytes),
+      limits,
+      responseMemory: BodyMemory.create(limits.maxResponsesBytes),
       recordOf: serviceRecords.get,
       nodeCount: () => Math.max(1, cluster.nodes.size),
       isWithinRateLimits: (member) => isWithinColdStartLimit(member) && statedLimits.allows(member),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,3 +1,4 @@
+export { BoundedBody } from './bounded-body.js';
 export type * from './caller-request.js';
 export * from './gateway.js';
 export * from './line-output.js';
--- a/packages/gateway/src/memory-limits.ts
+++ b/packages/gateway/src/memory-limits.ts
@@ -4,6 +4,8 @@
   readonly maxRequestBodyBytes: number;
   /** Response of an upstream that is buffered as a whole. */
   readonly maxResponseBytes: number;
+  /** All responses that are buffered at the same time, without the first part of each. */
+  readonly maxResponsesBytes: number;
   /** One event of a stream. */
   readonly maxEventBytes: number;
   /** Events of one stream that its caller has not read yet. */
@@ -12,6 +14,7 @@
 
 const requestBodyShare = 0.2;
 const responseShare = 0.05;
+const responsesShare = 0.1;
 const eventShare = 1 / 512;
 /** Hundreds of streams are open on one node at the same time. */
 const unsentShare = 1 / 1024;
@@ -21,6 +24,7 @@
   create: (memoryBytes: number): MemoryLimits => ({
     maxRequestBodyBytes: Math.floor(memoryBytes * requestBodyShare),
     maxResponseBytes: Math.floor(memoryBytes * responseShare),
+    maxResponsesBytes: Math.floor(memoryBytes * responsesShare),
     maxEventBytes: Math.floor(memoryBytes * eventShare),
     maxUnsentBytes: Math.floor(memoryBytes * unsentShare),
   }),
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -232,7 +232,7 @@
       isBackup: false,
     });
     context.onUseChanged();
-    const body = BoundedBody.create(context.limits.maxResponseBytes);
+    const body = BoundedBody.create(context.limits.maxResponseBytes, context.responseMemory);
     let responseHead: ResponseHead | undefined;
     let succeededAfterMs: number | undefined;
     const stopFollowing = context.rollouts.follow({
@@ -251,6 +251,7 @@
     };
     const onExchangeFailure = (failure: ExchangeFailure): void => {
       release();
+      body.release();
       if (!call.isEnded()) {
         onFailure(member, failure, sentAtMs);
       }
@@ -289,8 +290,10 @@
             succeededAfterMs = latencyMs;
           }
           release();
+          const received = body.toBuffer();
+          body.release();
           if (!call.isEnded() && responseHead !== undefined) {
-            onResponse(member, responseHead, body.toBuffer(), sentAtMs);
+            onResponse(member, responseHead, received, sentAtMs);
           }
         },
         onFailure: onExchangeFailure,
@@ -303,6 +306,7 @@
         stopFollowing();
         member.ownRuns.delete(runKey);
         context.onUseChanged();
+        body.release();
         exchange.abort();
       }
     });
--- a/packages/gateway/src/stream-migration.ts
+++ b/packages/gateway/src/stream-migration.ts
@@ -30,6 +30,8 @@
 const copyTimeoutMs = 2500;
 /** Delay before a move is retried because no engine had room. */
 const moveRetryMs = 60;
+/** Delay before a copy is asked for again that its engine did not make, for whatever reason. */
+const copyRetryMs = 300;
 
 export const StreamMigration = {
   create: (
@@ -46,6 +48,11 @@
     const copyKey = `${request.id}#copy`;
     let copying = false;
 
+    const pause = (durationMs: number): Promise<void> =>
+      new Promise((resolve) => {
+        clock.after(durationMs, resolve);
+      });
+
     /** Copies the run's memory while it continues. Meanwhile the target's memory counts as used. */
     const copyTo = async (
       source: StreamSegment,
@@ -81,6 +88,8 @@
       }
       if (copied.outcome === 'no-room') {
         enginesWithoutRoom.add(target.upstream.id);
+      } else {
+        await pause(copyRetryMs);
       }
       target.ownRuns.delete(copyKey);
       context.onUseChanged();
@@ -115,9 +124,7 @@
       if (target === undefined) {
         stream.logStep('no engine to move to', source.member);
         enginesWithoutRoom.clear();
-        await new Promise<void>((resolve) => {
-          clock.after(moveRetryMs, resolve);
-        });
+        await pause(moveRetryMs);
         return;
       }
       const copy = await copyTo(source, target);
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -80,13 +80,17 @@
     const promptTokens = copy === undefined ? options.promptTokens : 0;
     const queuedPromptTokens = expectedUse(member, context.peerUse).promptTokens + promptTokens;
     const splitter = EventSplitter.create();
-    const otherResponse = BoundedBody.create(context.limits.maxResponseBytes);
+    const otherResponse = BoundedBody.create(
+      context.limits.maxResponseBytes,
+      context.responseMemory,
+    );
     let firstEventAtMs: number | undefined;
     let lastEventAtMs = 0;
     let events = 0;
     let head: ResponseHead | undefined;
     let closed = false;
     let written = false;
+    let otherBody: Buffer = Buffer.alloc(0);
 
     const run: OwnRun = {
       requestId: runKey,
@@ -127,6 +131,8 @@
         return false;
       }
       closed = true;
+      otherBody = otherResponse.toBuffer();
+      otherResponse.release();
       stopFollowing();
       member.ownRuns.delete(runKey);
       backup?.ownRuns.delete(backupKey);
@@ -211,7 +217,7 @@
             return;
           }
           if (!isStreamResponse(head)) {
-            handlers.onOtherResponse(head, otherResponse.toBuffer());
+            handlers.onOtherResponse(head, otherBody);
           } else if (splitter.endsInsideEvent()) {
             // A complete response may still hold a truncated stream: a failing engine can end it in order.
             handlers.onFailure({ possiblySent: true, reason: 'the stream ended inside an event' });
