Refuse entries of upstreams that can't be connected to

Two of eight requests were closed without an answer while another writer's entry had port 99999.

Cause: an address was any text; the placement chose the entry, and what the client threw closed the caller's connection.

What throws while a request is served is answered with 502.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -272,8 +272,9 @@
         log.decision('caller connection failed', { reason: error.message });
       });
       serve(message, response).catch((error: unknown) => {
-        log.decision('failed to read request', { reason: String(error) });
-        response.destroy();
+        log.decision('failed to serve request', { reason: String(error) });
+        // Whether the request was sent to an upstream by then is not known here.
+        sendFailure(response, Failure.create('outcome-unknown', 'the request could not be served'));
       });
     });
     server.requestTimeout = 0;
--- a/packages/gateway/src/cluster-state.ts
+++ b/packages/gateway/src/cluster-state.ts
@@ -36,7 +36,13 @@
 /** A decoded change of one store key. Entries that can't be decoded are `unreadable`. */
 export type ClusterChange =
   | { readonly kind: 'configuration'; readonly configuration: Configuration }
-  | { readonly kind: 'upstream'; readonly id: string; readonly upstream: Upstream | undefined }
+  | {
+      readonly kind: 'upstream';
+      readonly id: string;
+      readonly upstream: Upstream | undefined;
+      /** Whether there is an entry that names no upstream which could be used. */
+      readonly isUnreadable?: boolean;
+    }
   | { readonly kind: 'withdrawal'; readonly dataCentre: string; readonly withdrawn: boolean }
   | { readonly kind: 'rollout'; readonly service: string; readonly rollout: Rollout | undefined }
   | { readonly kind: 'node'; readonly node: string; readonly entry: NodeEntry | undefined }
@@ -77,6 +83,9 @@
   readonly onChange: (listener: (change: ClusterChange) => void) => void;
 }
 
+/** Ids come from other writers. */
+const maxLoggedIdLength = 100;
+
 export const ClusterState = {
   create: (log: Log): ClusterState => {
     const fleet = Fleet.create();
@@ -149,6 +158,10 @@
           }
           break;
         case 'upstream':
+          if (change.isUnreadable === true) {
+            const reason = `registration of upstream ${change.id.slice(0, maxLoggedIdLength)} is invalid`;
+            log.event('store entry unreadable', { reason, revision });
+          }
           applyUpstream(change.id, change.upstream, revision, nowMs);
           break;
         case 'withdrawal':
