--- a/packages/soak/src/checks.test.ts
+++ b/packages/soak/src/checks.test.ts
@@ -21,6 +21,7 @@
   worker: 'app-1',
   atMs,
   continued,
+  endedAtMs: atMs + 100,
 });
 
 const brokenPromises = (observations: Observations): readonly string[] =>
@@ -37,6 +38,18 @@
     expect(findViolations(observations)).to.deep.equal([]);
   });
 
+  it('report a stream that goes on at a worker while another one works on it', () => {
+    // Guards against a check that can't see the fault of review/3.
+    const observations = Observations.create();
+    observations.requests.push(sentRequest({ kind: 'text' }));
+    const first = { ...workerRun(10_010), endedAtMs: 15_000 };
+    const second = { ...workerRun(11_000, true), worker: 'w2' };
+    observations.workerRuns.push(first, second);
+    expect(brokenPromises(observations)).to.include('one-worker-at-a-time');
+    first.endedAtMs = 11_300;
+    expect(brokenPromises(observations)).not.to.include('one-worker-at-a-time');
+  });
+
   it('report a request that ran twice, but not a run that continued from a copy', () => {
     const observations = Observations.create();
     observations.requests.push(sentRequest({}));
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -65,6 +65,33 @@
   return violations;
 };
 
+/** A stream may be at two workers for this long while the first one learns that it has to stop. */
+const maxOverlapMs = 400;
+
+/** A stream goes on at another worker only once the one before has stopped. */
+const checkOverlaps = (observations: Observations): readonly Violation[] => {
+  const violations: Violation[] = [];
+  const runs = runsByRequest(observations);
+  for (const { id, gateway } of observations.requests) {
+    for (const [index, run] of (runs.get(id) ?? []).entries()) {
+      const before = (runs.get(id) ?? []).slice(0, index);
+      const dueMs = run.atMs + maxOverlapMs + toleranceMs;
+      const overlapping = before.find(
+        ({ worker, endedAtMs }) => worker !== run.worker && endedAtMs > dueMs,
+      );
+      if (
+        run.continued &&
+        overlapping !== undefined &&
+        !isExemptFromTiming(observations, gateway, overlapping.atMs, dueMs)
+      ) {
+        const detail = `${id} went on at ${run.worker} while ${overlapping.worker} worked on it`;
+        violations.push({ promise: 'one-worker-at-a-time', detail });
+      }
+    }
+  }
+  return violations;
+};
+
 const describeWrongAnswer = (request: SentRequest): string | undefined => {
   const { answer, id } = request;
   if (request.kind === 'text') {
@@ -228,6 +255,7 @@
 /** Every broken promise that the observations show. */
 export const findViolations = (observations: Observations): readonly Violation[] => [
   ...checkRuns(observations),
+  ...checkOverlaps(observations),
   ...checkAnswers(observations),
   ...checkDraining(observations),
   ...checkStatements(observations),
--- a/packages/soak/src/traffic.ts
+++ b/packages/soak/src/traffic.ts
@@ -22,6 +22,8 @@
 const callerCount = 12;
 const meanPauseMs = 40;
 const timeoutsMs: Readonly<Record<RequestKind, number>> = { read: 1500, write: 1500, text: 4000 };
+/** Share of the requests whose key is drawn whether or not it was revoked. */
+const anyKeyShare = 0.15;
 const requestKindMix: readonly RequestKind[] = ['read', 'read', 'write', 'write', 'text'];
 
 export const Traffic = {
@@ -29,13 +31,20 @@
     let stopped = false;
     let requestCount = 0;
 
+    /** Most callers learn of a revocation; requests with a revoked key test only its refusal. */
+    const chooseKey = (): string | undefined => {
+      const validKeys = apiKeys.filter((key) => !observations.keyRevokedAtMs.has(key));
+      const keys = random() < anyKeyShare ? apiKeys : validKeys;
+      return keys[Math.floor(random() * keys.length)];
+    };
+
     /** Uses keep-alive connections, which stay open to a stopping gateway until it closes them. */
     const runCaller = async (): Promise<void> => {
       const agent = new Agent({ keepAlive: true, maxSockets: 4 });
       while (!stopped) {
         const gateway = gateways[Math.floor(random() * gateways.length)];
         const kind = requestKindMix[Math.floor(random() * requestKindMix.length)];
-        const key = apiKeys[Math.floor(random() * apiKeys.length)];
+        const key = chooseKey();
         if (gateway === undefined || kind === undefined || key === undefined) {
           throw new Error('no gateway, request kind or API key to choose from');
         }
