--- a/packages/gateway/src/bounded-body.ts
+++ b/packages/gateway/src/bounded-body.ts
@@ -12,6 +12,7 @@
   /** False if the memory is full. */
   readonly take: (bytes: number) => boolean;
   readonly free: (bytes: number) => void;
+  readonly usedBytes: () => number;
 }
 
 export const BodyMemory = {
@@ -28,6 +29,7 @@
       free: (bytes) => {
         usedBytes -= bytes;
       },
+      usedBytes: () => usedBytes,
     };
   },
 };
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -39,6 +39,8 @@
   readonly configure: (configuration: Configuration) => void;
   /** Requests from the arrival of their head until their response was sent. */
   readonly activeRequests: () => number;
+  /** Bytes of the request bodies in memory. */
+  readonly bodyBytes: () => number;
 }
 
 const chooseTarget = (targets: readonly Target[], random: () => number): Target | undefined => {
@@ -285,6 +287,7 @@
         server.headersTimeout = limits.headerTimeoutMs;
       },
       activeRequests: () => activeRequests,
+      bodyBytes: bodies.heldBytes,
     };
   },
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
 import type { Log } from './log.js';
 import { LostEntries } from './lost-entries.js';
 import { MemoryLimits } from './memory-limits.js';
+import { MemoryWatch, readMemoryUse, type HeldBytes } from './memory-use.js';
 import { createMetricsServer, Metrics } from './metrics.js';
 import { NodePeers } from './node-peers.js';
 import { OpenStream } from './open-stream.js';
@@ -250,6 +251,21 @@
       }
     });
 
+    const heldBytes = (): HeldBytes => ({
+      requestBodies: callerServer.bodyBytes(),
+      responses: context.responseMemory.usedBytes(),
+    });
+    const memoryWatch = MemoryWatch.create(clock, log, {
+      limitBytes: settings.memoryBytes,
+      read: readMemoryUse,
+      held: heldBytes,
+    });
+    metrics.exportMemory(() => ({
+      ...readMemoryUse(),
+      limit: settings.memoryBytes,
+      ...heldBytes(),
+    }));
+
     const ownEntry = (): NodeEntry => ({
       node: settings.node,
       dataCentre: settings.dataCentre,
@@ -334,6 +350,7 @@
         await shutdown.whenIdle(() => !isRegistered && callerServer.activeRequests() === 0);
         log.event('stopped', { open: callerServer.activeRequests() });
         stopTicks();
+        memoryWatch.stop();
         loadPolling.stop();
         rollouts.stop();
         peers.close();
--- /dev/null
+++ b/packages/gateway/src/memory-use.ts
@@ -0,0 +1,55 @@
+import type { Clock } from '@zinniagrade/clock';
+import type { Log } from './log.js';
+
+/** Memory of a process, in bytes. */
+export interface MemoryUse {
+  /** All pages in memory, those of the program itself included. */
+  readonly resident: number;
+  /** JavaScript heap, used or not. */
+  readonly heap: number;
+  /** Buffers outside the heap. */
+  readonly buffers: number;
+}
+
+export const readMemoryUse = (): MemoryUse => {
+  const { rss, heapTotal, external } = process.memoryUsage();
+  return { resident: rss, heap: heapTotal, buffers: external };
+};
+
+/** Bytes that the process holds for its peers, by kind of data. */
+export type HeldBytes = Readonly<Record<string, number>>;
+
+export interface MemoryWatchOptions {
+  /** Memory above which the process is killed, in bytes. */
+  readonly limitBytes: number;
+  readonly read: () => MemoryUse;
+  readonly held: () => HeldBytes;
+}
+
+/** Logs the memory in use whenever it reaches another step, as a process killed for it can't. */
+export interface MemoryWatch {
+  readonly stop: () => void;
+}
+
+const checkIntervalMs = 100;
+/** Share of the limit from one line to the next. */
+const stepShare = 0.1;
+/** Share of the limit below which no line is written. */
+const minShare = 0.5;
+
+export const MemoryWatch = {
+  create: (clock: Clock, log: Log, options: MemoryWatchOptions): MemoryWatch => {
+    let loggedStep = Math.floor(minShare / stepShare) - 1;
+    const check = (): void => {
+      const use = options.read();
+      const step = Math.floor(use.resident / options.limitBytes / stepShare);
+      if (step <= loggedStep) {
+        return;
+      }
+      loggedStep = step;
+      log.event('memory in use', { ...use, limit: options.limitBytes, ...options.held() });
+    };
+    const stop = clock.every(checkIntervalMs, check);
+    return { stop };
+  },
+};
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -8,6 +8,8 @@
   readonly recordMovePause: (outcome: string, pauseMs: number) => void;
   readonly countDecision: (name: string) => void;
   readonly addOpenRequests: (by: number) => void;
+  /** Exports memory sizes, which are read whenever the metrics are. */
+  readonly exportMemory: (read: () => Readonly<Record<string, number>>) => void;
   readonly text: () => Promise<string>;
 }
 
@@ -74,6 +76,19 @@
       addOpenRequests: (by) => {
         open.inc(by);
       },
+      exportMemory: (read) => {
+        new Gauge({
+          name: 'zinniagrade_memory_bytes',
+          help: 'Memory of the process and its limit, and what is held for peers, by kind.',
+          labelNames: ['kind'],
+          registers,
+          collect() {
+            for (const [kind, bytes] of Object.entries(read())) {
+              this.set({ kind }, bytes);
+            }
+          },
+        });
+      },
       text: () => registry.metrics(),
     };
   },
--- a/packages/gateway/src/request-bodies.ts
+++ b/packages/gateway/src/request-bodies.ts
@@ -20,6 +20,8 @@
   readonly stopReading: (failure: Failure) => void;
   /** To be called once for each body that was read, when it is no longer needed. */
   readonly release: (body: Buffer) => void;
+  /** Bytes of all bodies that are being read or were not released yet. */
+  readonly heldBytes: () => number;
 }
 
 /** Retry delay when the memory is full; some requests have ended by then and freed theirs. */
@@ -97,6 +99,7 @@
       release: (body) => {
         totalBytes -= body.length;
       },
+      heldBytes: () => totalBytes,
     };
   },
 };
