Split the evidence and the status writes off from the rollouts

The latency of a request moves to rollout-evidence.ts and the writing of a status in turns to rollout-status-writer.ts; behaviour, messages and tests stay the same.

--- a/packages/gateway/src/rollouts.test.ts
+++ b/packages/gateway/src/rollouts.test.ts
@@ -2,7 +2,8 @@
 import { decideRollout, type FleetMember, type RolloutReport } from '@zinniagrade/serving';
 import { expect } from 'chai';
 import { Log } from './log.js';
-import { Rollouts, type RequestTiming } from './rollouts.js';
+import type { RequestTiming } from './rollout-evidence.js';
+import { Rollouts } from './rollouts.js';
 import { ClusterState } from './cluster-state.js';
 
 /** Multiplier that spreads the seeds: similar seeds start with nearly the same random numbers. */
--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -1,12 +1,5 @@
 import type { Clock, Random } from '@zinniagrade/clock';
-import {
-  addEvidence,
-  evidenceOf,
-  isSlowWait,
-  latencyEvidenceOf,
-  VersionPacer,
-  type EvidenceTable,
-} from '@zinniagrade/moves';
+import { addEvidence, evidenceOf, VersionPacer, type EvidenceTable } from '@zinniagrade/moves';
 import type { VersionEvidence } from '@zinniagrade/types';
 import {
   decideRollout,
@@ -22,27 +15,8 @@
 import type { Log } from './log.js';
 import type { CommitOutcome } from './metadata-store.js';
 import type { RolloutStatus, ClusterState } from './cluster-state.js';
-
-/** What is known so far of the latency of one upstream request. */
-export interface RequestTiming {
-  /** Time to the first event, or to the complete response of a plain request. */
-  readonly firstEventMs?: number;
-  /** Time since the request was sent, if its first event is awaited. */
-  readonly waitedMs?: number;
-  /** Mean time between output tokens. */
-  readonly betweenTokensMs?: number;
-  /** Events from which that mean is taken. */
-  readonly events?: number;
-}
-
-/** A request that was sent to an upstream. */
-export interface SentRequest {
-  readonly member: FleetMember;
-  readonly route: string;
-  /** Whether this goes on with a stream that began at another upstream. */
-  readonly isContinuation?: boolean;
-  readonly timing: () => RequestTiming;
-}
+import { latencyOf, type KnownLatency, type SentRequest } from './rollout-evidence.js';
+import { RolloutStatusWriter } from './rollout-status-writer.js';
 
 export interface RolloutsOptions {
   readonly node: string;
@@ -90,19 +64,11 @@
   decision: RolloutDecision | undefined;
   pacer: VersionPacer;
   reportedAtMs: number;
-  /** The status that has to be written, and since when. */
-  dueStatus?: { readonly state: RolloutState; readonly sinceMs: number } | undefined;
-  writing: boolean;
+  readonly statusWriter: RolloutStatusWriter;
 }
 
-/** The mean of fewer events depends on whether prompts were read between them. */
-const minOpenEvents = 16;
 const stepIntervalMs = 200;
 const reportIntervalMs = 500;
-/** Each node waits this long for each node before it to write a status. */
-const writeTurnLengthMs = 400;
-const maxWriteTurns = 6;
-
 export const Rollouts = {
   create: (
     clock: Clock,
@@ -136,7 +102,11 @@
         // With a random start, many nodes with a few requests each reach the share in total.
         pacer: { credit: random() },
         reportedAtMs: 0,
-        writing: false,
+        statusWriter: RolloutStatusWriter.create(clock, log, cluster, {
+          node: options.node,
+          aliveNodes: options.aliveNodes,
+          write: options.writeStatus,
+        }),
       };
       progresses.set(service, progress);
       return progress;
@@ -188,34 +158,15 @@
     const oldVersion = ({ rollout }: RolloutProgress): string =>
       oldVersionOf(cluster.fleet.ofService(rollout.service), rollout.target) ?? '';
 
-    /**
-     * Latency of a request. While it is open, a wait that is not slow yet says nothing, nor do its
-     * first tokens. Those after a move never do: many streams move at once, which slows any version.
-     */
-    const latencyOf = (
-      progress: RolloutProgress,
-      { member, route, isContinuation = false, timing }: SentRequest,
-      isOpen: boolean,
-    ): VersionEvidence => {
-      const { firstEventMs, waitedMs, betweenTokensMs, events = 0 } = timing();
-      const knowsTokens =
-        betweenTokensMs !== undefined && !isContinuation && (!isOpen || events >= minOpenEvents);
-      const isSlow =
-        waitedMs !== undefined && isSlowWait(progress.known, oldVersion(progress), route, waitedMs);
-      const firstTokenMs = firstEventMs ?? (isSlow ? waitedMs : undefined);
-      const { service, version } = member.upstream;
-      return latencyEvidenceOf({
-        version,
-        service,
-        route,
-        ...(firstTokenMs === undefined ? {} : { firstTokenMs }),
-        ...(knowsTokens ? { betweenTokensMs } : {}),
-      });
-    };
+    const knownLatency = (progress: RolloutProgress): KnownLatency => ({
+      evidence: progress.known,
+      oldVersion: oldVersion(progress),
+    });
 
     const ownEvidence = (progress: RolloutProgress): readonly VersionEvidence[] => {
       const requests = openRequests.get(progress.rollout.service) ?? [];
-      const open = [...requests].map((request) => latencyOf(progress, request, true));
+      const known = knownLatency(progress);
+      const open = [...requests].map((request) => latencyOf(request, true, known));
       return Object.values(addEvidence(progress.evidence, open));
     };
 
@@ -256,44 +207,15 @@
       return isDone ? 'completed' : 'running';
     };
 
-    const writeStatus = async (progress: RolloutProgress, state: RolloutState): Promise<void> => {
-      const { service, target } = progress.rollout;
-      const revision = cluster.rolloutStatuses.get(service)?.revision ?? 0;
-      progress.writing = true;
-      const outcome = await options.writeStatus({ service, target, state }, revision);
-      progress.writing = false;
-      log.event('rollout status write', {
-        service,
-        target,
-        state,
-        revision,
-        outcome: outcome.outcome,
-      });
-    };
-
-    /** Nodes write in turns, so that usually only one writes and a dead node blocks nothing. */
     const writeIfDue = (progress: RolloutProgress, decision: RolloutDecision): void => {
+      const { service, target } = progress.rollout;
       const stored = storedState(progress);
-      const nowMs = clock.monotonicMs();
       const state = dueState(progress, decision);
       if (stored === state || stored === 'completed' || stored === 'rolled-back') {
-        progress.dueStatus = undefined;
+        progress.statusWriter.clear();
         return;
       }
-      if (progress.dueStatus?.state !== state) {
-        progress.dueStatus = { state, sinceMs: nowMs };
-      }
-      let precedingNodes = 0;
-      for (const node of options.aliveNodes()) {
-        precedingNodes += node < options.node ? 1 : 0;
-      }
-      const turnMs = Math.min(precedingNodes, maxWriteTurns) * writeTurnLengthMs;
-      if (!progress.writing && nowMs - progress.dueStatus.sinceMs >= turnMs) {
-        writeStatus(progress, state).catch((error: unknown) => {
-          progress.writing = false;
-          log.event('rollout status write failed', { reason: String(error) });
-        });
-      }
+      progress.statusWriter.writeInTurn({ service, target, state });
     };
 
     const step = (service: string): void => {
@@ -372,7 +294,7 @@
         return () => {
           const progress = progresses.get(service);
           if (requests.delete(request) && progress !== undefined) {
-            const latency = latencyOf(progress, request, false);
+            const latency = latencyOf(request, false, knownLatency(progress));
             progress.evidence = addEvidence(progress.evidence, [latency]);
           }
         };
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -9,7 +9,7 @@
 } from '@zinniagrade/serving';
 import { BoundedBody } from './bounded-body.js';
 import type { Call, ServingContext } from './call.js';
-import type { RequestTiming } from './rollouts.js';
+import type { RequestTiming } from './rollout-evidence.js';
 import type { ResponseHead, Exchange, ExchangeFailure, RunCopy } from './upstream-client.js';
 
 export interface StreamSegmentOptions {
