--- a/packages/gateway/src/peer-broadcast.ts
+++ b/packages/gateway/src/peer-broadcast.ts
@@ -15,6 +15,7 @@
   SharedUpdates,
   StoreAccess,
 } from './node-message.js';
+import { countUpdates, mergeUpdates, noUpdates, updatesFrom } from './shared-updates.js';
 
 /** State of this node and callbacks of a broadcast. */
 export interface PeerBroadcastOptions {
@@ -81,25 +82,6 @@
  */
 const refreshIntervalMs = 5000;
 
-const noUpdates: SharedUpdates = { loads: [], reports: [], findings: [], limits: [] };
-
-const countUpdates = ({ loads, reports, findings, limits }: SharedUpdates): number =>
-  loads.length + reports.length + findings.length + limits.length;
-
-const updatesFrom = (updates: SharedUpdates, wants: Audience['wants']): SharedUpdates => ({
-  loads: updates.loads.filter(({ node }) => wants(node)),
-  reports: updates.reports.filter(({ node }) => wants(node)),
-  findings: updates.findings.filter(({ node }) => wants(node)),
-  limits: updates.limits.filter(({ node }) => wants(node)),
-});
-
-const mergeUpdates = (first: SharedUpdates, second: SharedUpdates): SharedUpdates => ({
-  loads: [...first.loads, ...second.loads],
-  reports: [...first.reports, ...second.reports],
-  findings: [...first.findings, ...second.findings],
-  limits: [...first.limits, ...second.limits],
-});
-
 export const PeerBroadcast = {
   create: (options: PeerBroadcastOptions): PeerBroadcast => {
     const states = new Map<string, NodeState>();
