Register the handlers of signals before the gateway is loaded

Operators saw gateways that end by themselves: a SIGHUP within 0.2 s of the start ended the process without a line, and a second SIGTERM ended it at once in the middle of its grace period, which cut open requests.

Cause: the handlers were registered at the end of the start, after 0.2 s of loading and after all addresses were open, and that of SIGTERM was removed by the first signal, so that the default action applied to the next one.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,10 +1,15 @@
-// Bundles each program of the deploy file into one file, which starts faster and needs no
-// workspace links in node_modules.
+// Bundles the program of the deploy file into two files, which start faster than many and need no
+// workspace links in node_modules. The first one registers the signal handlers and then loads the
+// second one; it is small, as a signal ends a process that has no handler yet. With an argument,
+// writes into that folder instead of target/.
+import { resolve } from 'node:path';
+import { fileURLToPath } from 'node:url';
 import { build } from 'esbuild';
 
+const outdir = resolve(process.argv[2] ?? fileURLToPath(new URL('../target', import.meta.url)));
 process.chdir(new URL('..', import.meta.url).pathname);
 
-/** Resolves workspace packages to their sources, so that only target/ is written. */
+/** Resolves workspace packages to their sources, so that only the output folder is written. */
 const workspaceSources = {
   name: 'workspace-sources',
   setup: ({ onResolve }) => {
@@ -28,20 +33,40 @@
   },
 };
 
-await build({
-  entryPoints: { gateway: 'platform/src/main.ts' },
-  outdir: 'target',
+/** Path of the second file, relative to the first one. */
+const mainFile = './gateway-main.mjs';
+
+/** Leaves the second file out of the first one. */
+const separateMainFile = {
+  name: 'separate-main-file',
+  setup: ({ onResolve }) => {
+    onResolve({ filter: /^\.\/run-gateway\.js$/ }, () => ({ path: mainFile, external: true }));
+  },
+};
+
+const options = {
+  outdir,
   outExtension: { '.js': '.mjs' },
   bundle: true,
   platform: 'node',
   format: 'esm',
   target: 'node20',
-  plugins: [workspaceSources, reducedLibraries],
   // A minified bundle is read faster at start. Function names are kept for readable stack traces.
   minify: true,
   keepNames: true,
+};
+
+await build({
+  ...options,
+  entryPoints: { 'gateway-main': 'platform/src/run-gateway.ts' },
+  plugins: [workspaceSources, reducedLibraries],
   // Some dependencies are CommonJS and load Node's built-in modules with require.
   banner: {
     js: "import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);",
   },
 });
+await build({
+  ...options,
+  entryPoints: { gateway: 'platform/src/main.ts' },
+  plugins: [separateMainFile],
+});
