Try a listen address again while it is taken

Operators saw gateways that didn't start: a caller, ready or directory address that was still taken ended the process with EADDRINUSE, for example by the former process in its grace period. The address of the metrics did so too, though nothing that callers need depends on it. The node was registered in the store, and could count as ready, before callers could connect.

Addresses that are in use or not available yet are now tried every 100 ms until the process is told to stop. The node is registered, and ready, when the caller address is open. The metrics are opened beside the others. An error of an open server, for example of an accept, is logged. A shutdown before the caller address is open ends at once, as nothing can be open.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,8 +6,9 @@
 import type { ServingContext } from './call.js';
 import { chooseAddresses, createDirectoryServer } from './directory.js';
 import { CallerServer } from './caller-server.js';
-import { createReadyServer, listen } from './http-servers.js';
+import { createReadyServer } from './http-servers.js';
 import { createLinkSecret, maxSecretDelayMs } from './link-secret.js';
+import { Listeners } from './listeners.js';
 import { LoadPolling } from './load-polling.js';
 import type { Log } from './log.js';
 import { LostEntries } from './lost-entries.js';
@@ -36,6 +37,11 @@
 
 /** A running gateway process. */
 export interface Gateway {
+  /**
+   * Resolves with true when all addresses are open, without that of the metrics, and with false if
+   * the shutdown began before; rejects if one can never be opened.
+   */
+  readonly listening: Promise<boolean>;
   /** Applies changed settings; changed addresses take effect at the next start. */
   readonly reload: (settings: GatewaySettings) => void;
   /**
@@ -50,7 +56,7 @@
 const linksSettleMs = 2500;
 
 export const Gateway = {
-  create: async (platform: Platform, clock: Clock, log: Log): Promise<Gateway> => {
+  create: (platform: Platform, clock: Clock, log: Log): Gateway => {
     const { store } = platform;
     let { settings } = platform;
     const metrics = Metrics.create();
@@ -274,17 +280,24 @@
       capacity: settings.capacity,
       leaving: shutdown.hasBegun(),
     });
-    const registration = Registration.create(
-      store,
-      clock,
-      log,
-      platform.nodeKey(settings.node),
-      platform.encodeNode(ownEntry()),
-      settings.nodeLeaseMs,
-    );
+    let registration: Registration | undefined;
+    /** Registers this node once callers can connect to it. */
+    const register = (): void => {
+      registration = Registration.create(
+        store,
+        clock,
+        log,
+        platform.nodeKey(settings.node),
+        platform.encodeNode(ownEntry()),
+        settings.nodeLeaseMs,
+      );
+    };
 
     const isReady = (): boolean =>
-      !shutdown.hasBegun() && cluster.configuration() !== undefined && mirror.isComplete();
+      registration !== undefined &&
+      !shutdown.hasBegun() &&
+      cluster.configuration() !== undefined &&
+      mirror.isComplete();
 
     const sweep = (): void => {
       if (mirror.isComplete()) {
@@ -319,17 +332,37 @@
     );
 
     const servers: Server[] = [callerServer.server, readyServer, directoryServer];
-    await listen(callerServer.server, settings.listen.caller);
-    await listen(readyServer, settings.listen.ready);
-    await listen(directoryServer, settings.listen.directory);
+    const listeners = Listeners.create(clock, log);
+    const openCallerAddress = async (): Promise<boolean> => {
+      const isOpen = await listeners.open(callerServer.server, settings.listen.caller);
+      if (isOpen) {
+        register();
+      }
+      return isOpen;
+    };
+    const openAddresses = async (): Promise<boolean> => {
+      const { ready, directory } = settings.listen;
+      const areOpen = await Promise.all([
+        openCallerAddress(),
+        listeners.open(readyServer, ready),
+        listeners.open(directoryServer, directory),
+      ]);
+      if (areOpen.includes(false)) {
+        return false;
+      }
+      log.event('started', { ...settings.listen, dataCentre: settings.dataCentre });
+      return true;
+    };
     if (settings.listen.metrics !== undefined) {
       const metricsServer = createMetricsServer(metrics);
-      await listen(metricsServer, settings.listen.metrics);
       servers.push(metricsServer);
+      listeners.open(metricsServer, settings.listen.metrics).catch((error: unknown) => {
+        log.event('no metrics', { reason: String(error) });
+      });
     }
-    log.event('started', { ...settings.listen, dataCentre: settings.dataCentre });
 
     return {
+      listening: openAddresses(),
       reload: (next) => {
         settings = next;
         serviceRecords.resetBudgets(next.retries);
@@ -338,14 +371,17 @@
       shutDown: async () => {
         shutdown.begin();
         log.event('leaving', { open: callerServer.activeRequests(), graceMs: settings.graceMs });
-        registration.update(platform.encodeNode(ownEntry()));
-        await new Promise<void>((resolve) => {
-          clock.after(settings.graceMs / 2, resolve);
-        });
+        listeners.stop();
+        if (registration !== undefined) {
+          registration.update(platform.encodeNode(ownEntry()));
+          await new Promise<void>((resolve) => {
+            clock.after(settings.graceMs / 2, resolve);
+          });
+        }
         // No connection is accepted from here on; requests on open ones are still served.
         callerServer.server.close();
-        let isRegistered = true;
-        void registration.end().finally(() => (isRegistered = false));
+        let isRegistered = registration !== undefined;
+        void registration?.end().finally(() => (isRegistered = false));
         // Requests that arrive while the store has not answered are served too.
         await shutdown.whenIdle(() => !isRegistered && callerServer.activeRequests() === 0);
         log.event('stopped', { open: callerServer.activeRequests() });
