Accept request bodies by the memory that the process really uses

A process with 200 MB reached 226 MB with 1,000 bodies that stalled, and is killed above its limit without a line.

Cause: the share for bodies counted only bytes that were held. Chunks that were refused or freed stayed in memory until V8 collected them, which it does after 64 MB of buffers; a refused body's chunks were kept for as long as its connection lingered; nothing read what the process used.

Now a gate reads the resident memory every 50 ms and after each MB received. Bodies above 32 kB are accepted below four fifths of the limit, less 64 kB for each open connection, or while 4% of the limit at most is held; above 87% the largest incomplete bodies are refused as overloaded. Larger bodies leave a quarter of the share to small ones, and one that can never fit gets 413.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -5,6 +5,7 @@
 import type { BodyMemory } from './bounded-body.js';
 import type { CallerRequest } from './caller-request.js';
 import type { Log } from './log.js';
+import type { MemoryGate } from './memory-gate.js';
 import type { MemoryLimits } from './memory-limits.js';
 import type { Metrics } from './metrics.js';
 import type { RequestGuard } from './request-guard.js';
@@ -26,6 +27,8 @@
   readonly cluster: ClusterState;
   readonly client: UpstreamClient;
   readonly limits: MemoryLimits;
+  /** Bounds what is held for peers by the memory that the process uses. */
+  readonly memory: MemoryGate;
   /** Memory of all responses that are buffered. */
   readonly responseMemory: BodyMemory;
   /** Retry budget and statistics that this node keeps for a service. */
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -39,8 +39,6 @@
   readonly configure: (configuration: Configuration) => void;
   /** Requests from the arrival of their head until their response was sent. */
   readonly activeRequests: () => number;
-  /** Bytes of the request bodies in memory. */
-  readonly bodyBytes: () => number;
 }
 
 const chooseTarget = (targets: readonly Target[], random: () => number): Target | undefined => {
@@ -61,7 +59,7 @@
 export const CallerServer = {
   create: (context: ServingContext, options: CallerServerOptions): CallerServer => {
     const { clock, log, metrics, cluster } = context;
-    const bodies = RequestBodies.create(clock, context.limits.maxRequestBodyBytes);
+    const bodies = RequestBodies.create(clock, context.limits.maxRequestBodyBytes, context.memory);
     let activeRequests = 0;
     options.onReadingEnds(() => {
       bodies.stopReading(createLeavingFailure());
@@ -280,6 +278,12 @@
       });
     });
     server.requestTimeout = 0;
+    server.on('connection', (socket) => {
+      context.memory.addConnections(1);
+      socket.once('close', () => {
+        context.memory.addConnections(-1);
+      });
+    });
     return {
       server,
       configure: ({ limits }) => {
@@ -287,7 +291,6 @@
         server.headersTimeout = limits.headerTimeoutMs;
       },
       activeRequests: () => activeRequests,
-      bodyBytes: bodies.heldBytes,
     };
   },
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
 import { LoadPolling } from './load-polling.js';
 import type { Log } from './log.js';
 import { LostEntries } from './lost-entries.js';
+import { MemoryGate } from './memory-gate.js';
 import { MemoryLimits } from './memory-limits.js';
 import { MemoryWatch, readMemoryUse, type HeldBytes } from './memory-use.js';
 import { createMetricsServer, Metrics } from './metrics.js';
@@ -56,7 +57,13 @@
 const linksSettleMs = 2500;
 
 export const Gateway = {
-  create: (platform: Platform, clock: Clock, log: Log): Gateway => {
+  /** `readResidentBytes` reads the memory that counts against the limit of the settings. */
+  create: (
+    platform: Platform,
+    clock: Clock,
+    log: Log,
+    readResidentBytes: () => number = () => process.memoryUsage.rss(),
+  ): Gateway => {
     const { store } = platform;
     let { settings } = platform;
     const metrics = Metrics.create();
@@ -172,6 +179,10 @@
     });
 
     const limits = MemoryLimits.create(settings.memoryBytes);
+    const memory = MemoryGate.create(clock, log, {
+      limitBytes: settings.memoryBytes,
+      readResidentBytes,
+    });
     const context: ServingContext = {
       dataCentre: settings.dataCentre,
       clock,
@@ -181,6 +192,7 @@
       cluster,
       client: platform.upstreams,
       limits,
+      memory,
       responseMemory: BodyMemory.create(limits.maxResponsesBytes),
       recordOf: serviceRecords.get,
       nodeCount: () => Math.max(1, cluster.nodes.size),
@@ -258,7 +270,7 @@
     });
 
     const heldBytes = (): HeldBytes => ({
-      requestBodies: callerServer.bodyBytes(),
+      ...memory.held(),
       responses: context.responseMemory.usedBytes(),
     });
     const memoryWatch = MemoryWatch.create(clock, log, {
@@ -387,6 +399,7 @@
         log.event('stopped', { open: callerServer.activeRequests() });
         stopTicks();
         memoryWatch.stop();
+        memory.stop();
         loadPolling.stop();
         rollouts.stop();
         peers.close();
--- /dev/null
+++ b/packages/gateway/src/memory-gate.test.ts
@@ -0,0 +1,91 @@
+import { VirtualClock } from '@zinniagrade/clock';
+import { expect } from 'chai';
+import { Log } from './log.js';
+import { MemoryGate, type MemoryHolder } from './memory-gate.js';
+
+const megabyte = 1024 * 1024;
+const limitBytes = 200 * megabyte;
+
+const createGate = (readResidentBytes: () => number, collected: string[] = []) => {
+  const clock = VirtualClock.create();
+  const gate = MemoryGate.create(clock, Log.createSilent(), {
+    limitBytes,
+    readResidentBytes,
+    collect: (kind) => collected.push(kind),
+  });
+  return { clock, gate };
+};
+
+const createHolder = (bytes: number): MemoryHolder & { readonly shedBytes: () => number } => {
+  let heldBytes = bytes;
+  return {
+    name: 'test',
+    heldBytes: () => heldBytes,
+    shed: (wanted) => {
+      heldBytes -= wanted;
+      return wanted;
+    },
+    shedBytes: () => bytes - heldBytes,
+  };
+};
+
+describe('memory gate', () => {
+  it('allows what fits into the memory that the process does not use', () => {
+    // Guards against limits that leave out what the process uses beside the data that it counts.
+    let resident = 100 * megabyte;
+    const { clock, gate } = createGate(() => resident);
+    gate.addHolder(createHolder(20 * megabyte));
+    expect(gate.allows(50 * megabyte)).to.equal(true);
+    expect(gate.allows(70 * megabyte)).to.equal(false);
+    resident = 165 * megabyte;
+    clock.advance(50);
+    expect(gate.allows(megabyte)).to.equal(false);
+  });
+
+  it('allows a little while the memory in use stays high', () => {
+    // Guards against refusing for ever because the allocator keeps memory that was freed.
+    const { gate } = createGate(() => 190 * megabyte);
+    expect(gate.allows(megabyte)).to.equal(true);
+    expect(gate.allows(20 * megabyte)).to.equal(false);
+  });
+
+  it('keeps memory free for what the system receives on open connections', () => {
+    // Guards against a process that is killed for bytes that it has not read.
+    const { gate } = createGate(() => 100 * megabyte);
+    expect(gate.allows(40 * megabyte)).to.equal(true);
+    gate.addConnections(600);
+    expect(gate.allows(40 * megabyte)).to.equal(false);
+    gate.addConnections(-600);
+    expect(gate.allows(40 * megabyte)).to.equal(true);
+  });
+
+  it('collects garbage first, and sheds only what is held above the floor', () => {
+    // Guards against giving up requests for memory that is only not collected yet.
+    let resident = 190 * megabyte;
+    const collected: string[] = [];
+    const { clock, gate } = createGate(() => resident, collected);
+    const holder = createHolder(20 * megabyte);
+    gate.addHolder(holder);
+    clock.advance(50);
+    expect(collected).to.deep.equal(['major']);
+    expect(holder.shedBytes()).to.be.closeTo(12 * megabyte, megabyte);
+    resident = 120 * megabyte;
+    clock.advance(50);
+    expect(holder.shedBytes()).to.be.closeTo(12 * megabyte, megabyte);
+  });
+
+  it('reads the memory and frees dropped buffers while much is received', () => {
+    // Guards against buffers that add up between two runs of the timer.
+    let reads = 0;
+    const collected: string[] = [];
+    const { gate } = createGate(() => {
+      reads += 1;
+      return 100 * megabyte;
+    }, collected);
+    for (let received = 0; received < 8; received += 1) {
+      gate.recordReceived(megabyte);
+    }
+    expect(reads).to.be.at.least(8);
+    expect(collected).to.deep.equal(['minor', 'minor']);
+  });
+});
--- a/packages/gateway/src/memory-use.ts
+++ b/packages/gateway/src/memory-use.ts
@@ -16,6 +16,14 @@
   return { resident: rss, heap: heapTotal, buffers: external };
 };
 
+/**
+ * Frees memory that is no longer used, if Node.js runs with --expose-gc: V8 doesn't know the limit,
+ * and lets 64 MB of unused buffers add up before it frees them by itself.
+ */
+export const collectGarbage = (kind: 'minor' | 'major'): void => {
+  globalThis.gc?.(kind === 'minor');
+};
+
 /** Bytes that the process holds for its peers, by kind of data. */
 export type HeldBytes = Readonly<Record<string, number>>;
 
--- a/packages/gateway/src/request-bodies.ts
+++ b/packages/gateway/src/request-bodies.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Clock } from '@zinniagrade/clock';
 import { Failure } from '@zinniagrade/errors';
+import type { MemoryGate } from './memory-gate.js';
 
 /** Limits for one body. */
 export interface BodyLimits {
@@ -20,86 +21,142 @@
   readonly stopReading: (failure: Failure) => void;
   /** To be called once for each body that was read, when it is no longer needed. */
   readonly release: (body: Buffer) => void;
-  /** Bytes of all bodies that are being read or were not released yet. */
-  readonly heldBytes: () => number;
 }
 
 /** Retry delay when the memory is full; some requests have ended by then and freed theirs. */
 const memoryFullRetryAfterMs = 500;
 /** Time for a body after `stopReading`; one that is sent with its head is there by then. */
 const stoppedTimeoutMs = 50;
+/** Bodies up to this size are served while larger ones fill their share. */
+const smallBodyBytes = 32 * 1024;
+/** Share of the memory for bodies that larger ones can fill. */
+const largeBodiesShare = 0.75;
+/** Memory that a chunk takes beside its bytes. */
+const chunkOverheadBytes = 256;
+
+/** A body that is being read. */
+interface PendingBody {
+  readonly heldBytes: () => number;
+  readonly refuse: (failure: Failure) => void;
+}
+
+const createMemoryFailure = (): Failure =>
+  Failure.create('overloaded', 'memory for request bodies is full', memoryFullRetryAfterMs);
 
 export const RequestBodies = {
-  create: (clock: Clock, maxTotalBytes: number): RequestBodies => {
+  create: (clock: Clock, maxTotalBytes: number, gate: MemoryGate): RequestBodies => {
+    const maxLargeBytes = Math.floor(maxTotalBytes * largeBodiesShare);
     let totalBytes = 0;
     let stopped: Failure | undefined;
-    /** Refuse the bodies that are being read. */
-    const pending = new Set<(failure: Failure) => void>();
+    const pending = new Set<PendingBody>();
+
+    const hasRoom = (bytes: number, newSize: number): boolean =>
+      newSize <= smallBodyBytes
+        ? totalBytes + bytes <= maxTotalBytes
+        : totalBytes + bytes <= maxLargeBytes && gate.allows(bytes);
 
     const read: RequestBodies['read'] = (message, { maxBytes, timeoutMs }) =>
       new Promise((resolve, reject) => {
+        /** A body that doesn't fit into the memory for large ones is refused for good. */
+        const maxSize = Math.min(maxBytes, maxLargeBytes);
         const chunks: Buffer[] = [];
         let size = 0;
+        const heldBytes = (): number => size + chunks.length * chunkOverheadBytes;
         const stop = (): void => {
-          pending.delete(refuse);
+          pending.delete(body);
           cancelTimeout();
-          totalBytes -= size;
+          totalBytes -= heldBytes();
           size = 0;
+          // The listeners keep the array for as long as the connection lingers.
+          chunks.length = 0;
           message.off('data', onData);
         };
         const refuse = (failure: Failure): void => {
           stop();
-          message.resume();
+          message.on('data', onRefusedData);
           resolve(failure);
         };
+        const onRefusedData = (chunk: Buffer): void => {
+          gate.recordReceived(chunk.length);
+        };
         const onData = (chunk: Buffer): void => {
-          if (size + chunk.length > maxBytes) {
-            const detail = `request body exceeds the limit of ${String(maxBytes)} bytes`;
+          gate.recordReceived(chunk.length);
+          const newSize = size + chunk.length;
+          if (newSize > maxSize) {
+            const detail = `request body exceeds the limit of ${String(maxSize)} bytes`;
             refuse(Failure.create('payload-too-large', detail));
             return;
           }
-          if (totalBytes + chunk.length > maxTotalBytes) {
-            const detail = 'memory for request bodies is full';
-            refuse(Failure.create('overloaded', detail, memoryFullRetryAfterMs));
+          if (!hasRoom(chunk.length + chunkOverheadBytes, newSize)) {
+            refuse(createMemoryFailure());
             return;
           }
-          size += chunk.length;
-          totalBytes += chunk.length;
+          size = newSize;
           chunks.push(chunk);
+          totalBytes += chunk.length + chunkOverheadBytes;
+        };
+        /** The copy takes memory beside the chunks until they are collected. */
+        const joinChunks = (): Buffer => {
+          const [first] = chunks;
+          if (chunks.length === 1 && first !== undefined) {
+            return first;
+          }
+          gate.recordReceived(size);
+          return Buffer.concat(chunks);
         };
         const allowedMs = stopped === undefined ? timeoutMs : Math.min(timeoutMs, stoppedTimeoutMs);
         const cancelTimeout = clock.after(allowedMs, () => {
           const detail = 'the request body did not arrive in time';
           refuse(stopped ?? Failure.create('request-timeout', detail));
         });
-        pending.add(refuse);
+        const body: PendingBody = { heldBytes, refuse };
+        pending.add(body);
         message.on('data', onData);
         message.once('end', () => {
-          pending.delete(refuse);
-          cancelTimeout();
-          resolve(Buffer.concat(chunks));
+          if (!pending.has(body)) {
+            return;
+          }
+          const joined = joinChunks();
+          stop();
+          totalBytes += joined.length;
+          resolve(joined);
         });
         message.once('error', reject);
         message.once('close', () => {
-          if (!message.complete) {
+          if (!message.complete && pending.has(body)) {
             stop();
             reject(new Error('caller closed the connection before the request body was complete'));
           }
         });
       });
 
+    /** Refuses the largest bodies that are not complete. */
+    const shed = (bytes: number): number => {
+      const largestFirst = [...pending].sort((a, b) => b.heldBytes() - a.heldBytes());
+      let shedBytes = 0;
+      for (const body of largestFirst) {
+        if (shedBytes >= bytes || body.heldBytes() <= smallBodyBytes) {
+          break;
+        }
+        shedBytes += body.heldBytes();
+        body.refuse(createMemoryFailure());
+      }
+      return shedBytes;
+    };
+
+    gate.addHolder({ name: 'requestBodies', heldBytes: () => totalBytes, shed });
+
     return {
       read,
       stopReading: (failure) => {
         stopped = failure;
-        for (const refuse of [...pending]) {
+        for (const { refuse } of [...pending]) {
           refuse(failure);
         }
       },
       release: (body) => {
         totalBytes -= body.length;
       },
-      heldBytes: () => totalBytes,
     };
   },
 };
