Keep sockets for upstreams when more callers connect than there are

Callers could take all file descriptors of a gateway: with 300 descriptors and 900 connections none was left for upstreams, the settings file or the memory reading ("connect EMFILE", "EMFILE: uv_resident_set_memory").

Without the field nothing is bounded.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 import type { ServingContext } from './call.js';
 import { chooseAddresses, createDirectoryServer } from './directory.js';
 import { CallerServer } from './caller-server.js';
+import { limitServerConnections } from './connection-limits.js';
 import { createReadyServer } from './http-servers.js';
 import { createLinkSecret, maxSecretDelayMs } from './link-secret.js';
 import { Listeners } from './listeners.js';
@@ -344,6 +345,11 @@
     );
 
     const servers: Server[] = [callerServer.server, readyServer, directoryServer];
+    if (settings.maxSockets !== undefined) {
+      limitServerConnections(callerServer.server, 'caller', settings.maxSockets, clock, log);
+      limitServerConnections(readyServer, 'ready', settings.maxSockets, clock, log);
+      limitServerConnections(directoryServer, 'directory', settings.maxSockets, clock, log);
+    }
     const listeners = Listeners.create(clock, log);
     const openCallerAddress = async (): Promise<boolean> => {
       const isOpen = await listeners.open(callerServer.server, settings.listen.caller);
@@ -368,6 +374,9 @@
     if (settings.listen.metrics !== undefined) {
       const metricsServer = createMetricsServer(metrics);
       servers.push(metricsServer);
+      if (settings.maxSockets !== undefined) {
+        limitServerConnections(metricsServer, 'metrics', settings.maxSockets, clock, log);
+      }
       listeners.open(metricsServer, settings.listen.metrics).catch((error: unknown) => {
         log.event('no metrics', { reason: String(error) });
       });
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -12,6 +12,8 @@
     readonly nodes: string;
   };
   readonly memoryBytes: number;
+  /** Sockets that the process may have open at a time; not bounded if undefined. */
+  readonly maxSockets?: number;
   /** Processor cores that the process may use. */
   readonly capacity: number;
   /** Time from the stop signal until the process is killed. */
