Start the soak's gateways as deployed, and check their processes

The soak couldn't: it started gateways without the deploy file's heap limit and without a metrics port, saw only that a process had exited, and read no memory.

Gateways now start with the options of deploy/system.toml and a metrics port. Each process has a record: signals, readiness, peak memory (VmHWM, read twice a second), exit and last output. New checks: `stays-up` names code or signal and the last lines, and SIGTERM no longer explains an error or a ready process that the signal itself ends; `starts` allows 5 s, not counting held-up starts and time without a processor; `memory-limit` holds each process to its settings. The former count of unexpected exits is part of `stays-up`. A process that ended by itself is started again, as on the platform.

--- a/packages/soak/src/checks.test.ts
+++ b/packages/soak/src/checks.test.ts
@@ -119,12 +119,6 @@
     expect(brokenPromises(observations)).to.deep.equal(['configuration-never-reverts']);
   });
 
-  it('report a gateway that exited without being stopped', () => {
-    const observations = Observations.create();
-    observations.unexpectedExits.push('g1');
-    expect(brokenPromises(observations)).to.deep.equal(['stays-up']);
-  });
-
   it('report that too few requests are served after the last fault', () => {
     const observations = Observations.create();
     observations.faultsEndedAtMs = 0;
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -5,12 +5,8 @@
   type WorkerRun,
 } from '@zinniagrade/platform-adapter/standins';
 import type { Observations, SentRequest } from './observations.js';
-
-/** A violated guarantee: `promise` names it, `detail` says what was observed. */
-export interface Violation {
-  readonly promise: string;
-  readonly detail: string;
-}
+import { checkProcesses } from './process-checks.js';
+import type { Violation } from './violation.js';
 
 /** Statuses that assert, without a worker's seal, that the request has not run and never will. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -246,12 +242,6 @@
     : [];
 };
 
-const checkUnexpectedExits = (observations: Observations): readonly Violation[] =>
-  observations.unexpectedExits.map((gateway) => ({
-    promise: 'stays-up',
-    detail: `${gateway} exited without being stopped; see its log`,
-  }));
-
 /** Every broken promise that the observations show. */
 export const findViolations = (observations: Observations): readonly Violation[] => [
   ...checkRuns(observations),
@@ -262,5 +252,5 @@
   ...checkApiKeys(observations),
   ...checkConfigurationNeverReverts(observations),
   ...checkRecovery(observations),
-  ...checkUnexpectedExits(observations),
+  ...checkProcesses(observations),
 ];
--- a/packages/soak/src/environment.ts
+++ b/packages/soak/src/environment.ts
@@ -1,7 +1,12 @@
 import { join } from 'node:path';
 import type { Random } from '@zinniagrade/clock';
 import { findFreePort } from '@zinniagrade/free-ports';
-import { SoakPlatform, writeSettingsFile } from '@zinniagrade/platform-adapter/standins';
+import {
+  changeSettings,
+  soakMemoryBytes,
+  SoakPlatform,
+  writeSettingsFile,
+} from '@zinniagrade/platform-adapter/standins';
 import { GatewayProcess } from './gateway-process.js';
 import { LoopbackProxy } from './loopback-proxy.js';
 import { Observations } from './observations.js';
@@ -86,14 +91,18 @@
         ready: await reserveAddress(host),
         directory: await reserveAddress(host),
         nodes: await reserveAddress(host),
+        metrics: await reserveAddress(host),
       };
+      const settings = writeSettingsFile(node, index, addresses, proxy.address);
       gateways.push(
         GatewayProcess.create({
           node,
-          callerAddress: addresses.caller,
+          addresses,
+          memoryLimitBytes: soakMemoryBytes,
           program: options.program,
           settingsFile: join(options.folder, `${node}.json`),
-          settings: writeSettingsFile(node, index, addresses, proxy.address),
+          settings,
+          changedSettings: changeSettings(settings),
           logFile: join(options.folder, `${node}.log`),
         }),
       );
@@ -108,8 +117,7 @@
       configurationVersion: 1,
       close: async () => {
         for (const gateway of gateways) {
-          gateway.signal('SIGKILL');
-          await gateway.exited();
+          await gateway.close();
         }
         for (const proxy of [...storeProxies, ...workerProxies]) {
           proxy.close();
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -1,27 +1,15 @@
 import { soakBounds } from '@zinniagrade/platform-adapter/standins';
+import { elementAt } from './element-at.js';
 import { apiKeys, exemptFromTiming, type Environment } from './environment.js';
 import type { Fault } from './fault-plan.js';
 import type { GatewayProcess } from './gateway-process.js';
 import { sleep } from './sleep.js';
+import { shutdownGraceMs, stopRun } from './stop-run.js';
 
 const restartDelayMs = 200;
-const shutdownGraceMs = soakBounds.graceS * 1000;
-
-const elementAt = <Value>(values: readonly Value[], index: number): Value => {
-  const value = values[index];
-  if (value === undefined) {
-    throw new Error(`no element at index ${String(index)}`);
-  }
-  return value;
-};
 
 const restartGateway = async (gateway: GatewayProcess, signal: NodeJS.Signals): Promise<void> => {
-  gateway.signal(signal);
-  const killTimer = setTimeout(() => {
-    gateway.signal('SIGKILL');
-  }, shutdownGraceMs);
-  await gateway.exited();
-  clearTimeout(killTimer);
+  await stopRun(gateway.latestRun(), signal);
   await sleep(restartDelayMs);
   gateway.start();
 };
@@ -86,6 +74,22 @@
   );
 };
 
+const disturbStore = async (
+  environment: Environment,
+  fault: 'unavailable' | 'dropsReplies',
+  forMs: number,
+): Promise<void> => {
+  const { faults } = environment.platform.store;
+  exemptFromTiming(environment, forMs);
+  const endHoldUps = environment.gateways.map((gateway) => gateway.holdUpStart());
+  faults[fault] = true;
+  await sleep(forMs);
+  faults[fault] = false;
+  for (const endHoldUp of endHoldUps) {
+    endHoldUp();
+  }
+};
+
 const injectGatewayFault = async (
   environment: Environment,
   fault: Extract<Fault, { readonly gateway: number }>,
@@ -99,16 +103,22 @@
     case 'terminate':
       await restartGateway(gateway, 'SIGTERM');
       return;
-    case 'pause':
-      gateway.signal('SIGSTOP');
+    case 'pause': {
+      const run = gateway.latestRun();
+      const endHoldUp = gateway.holdUpStart();
+      run.signal('SIGSTOP');
       await sleep(fault.forMs);
-      gateway.signal('SIGCONT');
+      run.signal('SIGCONT');
+      endHoldUp();
       return;
+    }
     case 'store-link': {
       const proxy = elementAt(environment.storeProxies, fault.gateway);
+      const endHoldUp = gateway.holdUpStart();
       proxy.setFault(fault.link);
       await sleep(fault.forMs);
       proxy.setFault('none');
+      endHoldUp();
     }
   }
 };
@@ -165,19 +175,12 @@
     await injectWorkerFault(environment, fault);
     return;
   }
-  const { faults } = environment.platform.store;
   switch (fault.kind) {
     case 'store-away':
-      exemptFromTiming(environment, fault.forMs);
-      faults.unavailable = true;
-      await sleep(fault.forMs);
-      faults.unavailable = false;
+      await disturbStore(environment, 'unavailable', fault.forMs);
       return;
     case 'store-loses-replies':
-      exemptFromTiming(environment, fault.forMs);
-      faults.dropsReplies = true;
-      await sleep(fault.forMs);
-      faults.dropsReplies = false;
+      await disturbStore(environment, 'dropsReplies', fault.forMs);
       return;
     case 'store-forgets':
       environment.platform.store.compactHistory();
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -30,7 +30,7 @@
 const reportResult = (result: SoakResult, folder: string): void => {
   const verdict = result.violations.length === 0 ? 'held' : 'broken';
   process.stdout.write(
-    `seed ${String(result.seed)} ${verdict}: ${String(result.served)} of ${String(result.requests)} served, ${String(result.faults.length)} faults\n`,
+    `seed ${String(result.seed)} ${verdict}: ${String(result.served)} of ${String(result.requests)} served, ${String(result.faults.length)} faults, own delay ${String(result.maxOwnDelayMs)} ms\n`,
   );
   for (const { promise, detail } of result.violations.slice(0, 10)) {
     process.stdout.write(`  BROKEN ${promise}: ${detail}\n`);
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -4,6 +4,7 @@
   WorkerRun,
   WorkerStatement,
 } from '@zinniagrade/platform-adapter/standins';
+import type { ProcessRecord } from './gateway-run.js';
 
 /**
  * A request as its caller saw it. Times are milliseconds of `performance.now()` in the soak
@@ -44,8 +45,8 @@
   readonly drainPeriods: DrainPeriod[];
   /** Time of revocation by API key. */
   readonly keyRevokedAtMs: Map<string, number>;
-  /** Gateways that exited without being stopped by the soak, one entry per exit. */
-  readonly unexpectedExits: string[];
+  /** Every process of every gateway. */
+  readonly processes: ProcessRecord[];
   /** When the last fault ended; infinite until then. */
   faultsEndedAtMs: number;
 }
@@ -58,7 +59,7 @@
     timingExemptions: [],
     drainPeriods: [],
     keyRevokedAtMs: new Map(),
-    unexpectedExits: [],
+    processes: [],
     faultsEndedAtMs: Infinity,
   }),
 };
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -1,11 +1,14 @@
 import { mkdirSync } from 'node:fs';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { Random } from '@zinniagrade/clock';
-import { findViolations, type Violation } from './checks.js';
+import { findViolations } from './checks.js';
 import { apiKeys, Environment, exemptFromTiming, type EnvironmentOptions } from './environment.js';
 import { planFaults, planStatementFaults, type Fault } from './fault-plan.js';
+import type { ProcessRecord } from './gateway-run.js';
 import { injectFault } from './inject-fault.js';
 import { sleep } from './sleep.js';
 import { Traffic } from './traffic.js';
+import type { Violation } from './violation.js';
 
 export interface SoakOptions extends EnvironmentOptions {
   /** Period within which faults begin. */
@@ -18,20 +21,26 @@
   readonly served: number;
   readonly faults: readonly Fault[];
   readonly violations: readonly Violation[];
+  readonly processes: readonly ProcessRecord[];
+  /** Longest time for which the soak itself could not run; its measured times are late by as much. */
+  readonly maxOwnDelayMs: number;
 }
 
 /** Time from the start of the gateways to the first request. */
 const startupMs = 2500;
+const nanosecondsPerMs = 1e6;
 /** Time that requests go on after the last fault, in which the gateways must recover. */
 const faultFreeMs = 7000;
+
 /** Spreads the seeds: adjacent seeds of `Random` begin with nearly the same numbers. */
 const seedStride = 0x9e3779b1;
 
 /** Runs gateways and callers under the faults of one seed and checks what was observed. */
 export const runSoak = async (options: SoakOptions): Promise<SoakResult> => {
+  const ownDelay = monitorEventLoopDelay();
+  ownDelay.enable();
   mkdirSync(options.folder, { recursive: true });
   const randomSeed = Math.imul(options.seed, seedStride);
-  const random = Random.create(randomSeed);
   const environment = await Environment.create(options, Random.create(randomSeed + seedStride));
   const { observations, gateways, platform } = environment;
   const planOptions = {
@@ -40,7 +49,7 @@
     faultPeriodMs: options.faultPeriodMs,
   };
   const faults = [
-    ...planFaults(random, planOptions),
+    ...planFaults(Random.create(randomSeed), planOptions),
     ...planStatementFaults(Random.create(randomSeed + 2 * seedStride), planOptions),
   ];
   try {
@@ -49,7 +58,12 @@
     }
     exemptFromTiming(environment, startupMs);
     await sleep(startupMs);
-    const traffic = Traffic.create({ gateways, apiKeys, observations, random });
+    const traffic = Traffic.create({
+      gateways,
+      apiKeys,
+      observations,
+      random: Random.create(randomSeed),
+    });
     await Promise.all(
       faults.map(async (fault) => {
         await sleep(fault.atMs);
@@ -60,9 +74,7 @@
     await sleep(faultFreeMs);
     await traffic.stop();
     for (const gateway of gateways) {
-      for (let exit = 0; exit < gateway.unexpectedExitCount(); exit += 1) {
-        observations.unexpectedExits.push(gateway.node);
-      }
+      observations.processes.push(...gateway.records());
     }
   } finally {
     await environment.close();
@@ -74,5 +86,7 @@
       .length,
     faults,
     violations: findViolations(observations),
+    processes: observations.processes,
+    maxOwnDelayMs: Math.round(ownDelay.max / nanosecondsPerMs),
   };
 };
