Inject faults around the starts of the soak's gateways

The soak sent SIGHUP only at calm moments and started a process only after the former one had exited, so that it couldn't see ends during a start.

The group `starts` sends SIGHUP 0 to 600 ms after a start (settings unchanged, changed or half written), SIGTERM during a start or repeatedly within the grace period, starts a process beside one in its grace period, takes a listen address for up to 2 s, and kills and starts repeatedly. It draws from random numbers of its own, so that the seeds of old violations draw the same faults; `--faults` names groups.

SIGHUP before the first line of the program can run ends any Node.js process; such ends are recognized by the processor time used and recorded, but are no violation.

--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -1,11 +1,12 @@
 import type { Random } from '@zinniagrade/clock';
 import type { LinkFault } from './loopback-proxy.js';
+import type { StartFault } from './start-fault-plan.js';
 
 /**
  * A fault that begins at `atMs` after the start of the fault period and lasts `forMs`. `gateway`
  * and `worker` are indexes from 0.
  */
-export type Fault = { readonly atMs: number; readonly forMs: number } & (
+export type MixedFault = { readonly atMs: number; readonly forMs: number } & (
   | { readonly kind: 'kill' | 'terminate' | 'pause'; readonly gateway: number }
   | { readonly kind: 'store-link'; readonly gateway: number; readonly link: LinkFault }
   | { readonly kind: 'worker-link'; readonly worker: number; readonly link: LinkFault }
@@ -15,6 +16,8 @@
   | { readonly kind: 'revoke' }
 );
 
+export type Fault = MixedFault | StartFault;
+
 /** Faults of workers that say so in their responses, or whose streams end too early. */
 export type StatementFaultKind = (typeof statementFaultKinds)[number];
 
@@ -69,8 +72,8 @@
 export const planStatementFaults = (
   random: Random,
   { workerCount, faultPeriodMs }: FaultPlanOptions,
-): readonly Fault[] => {
-  const faults: Fault[] = [];
+): readonly MixedFault[] => {
+  const faults: MixedFault[] = [];
   let atMs = meanStatementIntervalMs * random();
   while (atMs < faultPeriodMs) {
     const kind = statementFaultKinds[Math.floor(random() * statementFaultKinds.length)];
@@ -84,8 +87,8 @@
 };
 
 /** Draws overlapping and repeated faults. The same random sequence gives the same plan. */
-export const planFaults = (random: Random, options: FaultPlanOptions): readonly Fault[] => {
-  const faults: Fault[] = [];
+export const planFaults = (random: Random, options: FaultPlanOptions): readonly MixedFault[] => {
+  const faults: MixedFault[] = [];
   const pick = <Value>(values: readonly Value[]): Value => {
     const value = values[Math.floor(random() * values.length)];
     if (value === undefined) {
@@ -93,7 +96,7 @@
     }
     return value;
   };
-  const drawFault = (atMs: number): Fault => {
+  const drawFault = (atMs: number): MixedFault => {
     const interval = { atMs, forMs: minFaultMs + random() * (maxFaultMs - minFaultMs) };
     const gateway = Math.floor(random() * options.gatewayCount);
     const worker = Math.floor(random() * options.workerCount);
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -1,8 +1,9 @@
 import { soakBounds } from '@zinniagrade/platform-adapter/standins';
 import { elementAt } from './element-at.js';
 import { apiKeys, exemptFromTiming, type Environment } from './environment.js';
-import type { Fault } from './fault-plan.js';
+import type { Fault, MixedFault } from './fault-plan.js';
 import type { GatewayProcess } from './gateway-process.js';
+import { injectStartFault } from './inject-start-fault.js';
 import { sleep } from './sleep.js';
 import { shutdownGraceMs, stopRun } from './stop-run.js';
 
@@ -19,7 +20,7 @@
 
 const drainWorker = async (
   environment: Environment,
-  fault: Fault & { readonly worker: number },
+  fault: MixedFault & { readonly worker: number },
 ): Promise<void> => {
   const { standin } = elementAt(environment.platform.workers, fault.worker);
   const { address } = elementAt(environment.workerProxies, fault.worker);
@@ -37,7 +38,7 @@
 /** Has the worker's responses state that it leaves; then it starts again under the same id. */
 const stateLeaving = async (
   environment: Environment,
-  fault: Fault & { readonly worker: number },
+  fault: MixedFault & { readonly worker: number },
 ): Promise<void> => {
   const { standin, faults } = elementAt(environment.platform.workers, fault.worker);
   if (faults.leaving) {
@@ -92,7 +93,7 @@
 
 const injectGatewayFault = async (
   environment: Environment,
-  fault: Extract<Fault, { readonly gateway: number }>,
+  fault: Extract<MixedFault, { readonly gateway: number }>,
 ): Promise<void> => {
   const gateway = elementAt(environment.gateways, fault.gateway);
   exemptFromTiming(environment, fault.forMs + shutdownGraceMs, gateway.node);
@@ -125,7 +126,7 @@
 
 const injectWorkerFault = async (
   environment: Environment,
-  fault: Extract<Fault, { readonly worker: number }>,
+  fault: Extract<MixedFault, { readonly worker: number }>,
 ): Promise<void> => {
   const { faults } = elementAt(environment.platform.workers, fault.worker);
   switch (fault.kind) {
@@ -165,8 +166,8 @@
   }
 };
 
-/** Injects a fault; resolves when it has ended. */
-export const injectFault = async (environment: Environment, fault: Fault): Promise<void> => {
+/** Injects a fault of the mixed kinds; resolves when it has ended. */
+const injectMixedFault = async (environment: Environment, fault: MixedFault): Promise<void> => {
   if ('gateway' in fault) {
     await injectGatewayFault(environment, fault);
     return;
@@ -189,3 +190,19 @@
       revokeNextKey(environment);
   }
 };
+
+/** Injects a fault; resolves when it has ended. */
+export const injectFault = async (environment: Environment, fault: Fault): Promise<void> => {
+  switch (fault.kind) {
+    case 'reload-in-start':
+    case 'terminate-in-start':
+    case 'terminate-repeatedly':
+    case 'start-beside':
+    case 'address-taken':
+    case 'kill-repeatedly':
+      await injectStartFault(environment, fault);
+      return;
+    default:
+      await injectMixedFault(environment, fault);
+  }
+};
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -3,20 +3,25 @@
 import { Random } from '@zinniagrade/clock';
 import { findViolations } from './checks.js';
 import { apiKeys, Environment, exemptFromTiming, type EnvironmentOptions } from './environment.js';
-import { planFaults, planStatementFaults, type Fault } from './fault-plan.js';
+import type { Fault } from './fault-plan.js';
 import type { ProcessRecord } from './gateway-run.js';
 import { injectFault } from './inject-fault.js';
+import { groupsOfSeed, planForSeed, seedStride, type FaultGroup } from './plan-for-seed.js';
 import { sleep } from './sleep.js';
+import { shutdownGraceMs } from './stop-run.js';
 import { Traffic } from './traffic.js';
 import type { Violation } from './violation.js';
 
 export interface SoakOptions extends EnvironmentOptions {
   /** Period within which faults begin. */
   readonly faultPeriodMs: number;
+  /** Faults to inject; if absent, they follow from the seed. */
+  readonly groups?: readonly FaultGroup[];
 }
 
 export interface SoakResult {
   readonly seed: number;
+  readonly groups: readonly FaultGroup[];
   readonly requests: number;
   readonly served: number;
   readonly faults: readonly Fault[];
@@ -32,9 +37,6 @@
 /** Time that requests go on after the last fault, in which the gateways must recover. */
 const faultFreeMs = 7000;
 
-/** Spreads the seeds: adjacent seeds of `Random` begin with nearly the same numbers. */
-const seedStride = 0x9e3779b1;
-
 /** Runs gateways and callers under the faults of one seed and checks what was observed. */
 export const runSoak = async (options: SoakOptions): Promise<SoakResult> => {
   const ownDelay = monitorEventLoopDelay();
@@ -43,15 +45,13 @@
   const randomSeed = Math.imul(options.seed, seedStride);
   const environment = await Environment.create(options, Random.create(randomSeed + seedStride));
   const { observations, gateways, platform } = environment;
-  const planOptions = {
+  const groups = options.groups ?? groupsOfSeed(options.seed);
+  const faults = planForSeed(options.seed, groups, {
     gatewayCount: gateways.length,
     workerCount: platform.workers.length,
     faultPeriodMs: options.faultPeriodMs,
-  };
-  const faults = [
-    ...planFaults(Random.create(randomSeed), planOptions),
-    ...planStatementFaults(Random.create(randomSeed + 2 * seedStride), planOptions),
-  ];
+    graceMs: shutdownGraceMs,
+  });
   try {
     for (const gateway of gateways) {
       gateway.start();
@@ -81,6 +81,7 @@
   }
   return {
     seed: options.seed,
+    groups,
     requests: observations.requests.length,
     served: observations.requests.filter(({ answer }) => answer.status === 200 && answer.complete)
       .length,
