Have hostile callers and workers in the soak

Nothing in the soak held memory of a gateway or sent it broken bytes.

The group `callers` opens 200 to 600 connections to a gateway with bodies that stop half way, bodies without end, answers that nobody reads, or nothing at all, and opens them again when they are closed. Ordinary callers must be served beside them (`serves-beside-hostile-callers`, 9 of 10); only another fault excuses it, or unread answers for requests to the workers whose places these take. The group `workers` cuts answers within the head and writes an earlier refusal once more on a kept connection; the present checks judge both. The proxies now read no faster than their peer.

--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -5,6 +5,7 @@
   type WorkerRun,
 } from '@zinniagrade/platform-adapter/standins';
 import type { Observations, SentRequest } from './observations.js';
+import { checkHostileCallers } from './hostile-checks.js';
 import { checkProcesses } from './process-checks.js';
 import type { Violation } from './violation.js';
 
@@ -252,5 +253,6 @@
   ...checkApiKeys(observations),
   ...checkConfigurationNeverReverts(observations),
   ...checkRecovery(observations),
+  ...checkHostileCallers(observations),
   ...checkProcesses(observations),
 ];
--- a/packages/soak/src/fault-plan.ts
+++ b/packages/soak/src/fault-plan.ts
@@ -1,4 +1,5 @@
 import type { Random } from '@zinniagrade/clock';
+import type { HostileFault } from './hostile-fault-plan.js';
 import type { LinkFault } from './loopback-proxy.js';
 import type { StartFault } from './start-fault-plan.js';
 
@@ -16,7 +17,7 @@
   | { readonly kind: 'revoke' }
 );
 
-export type Fault = MixedFault | StartFault;
+export type Fault = MixedFault | StartFault | HostileFault;
 
 /** Faults of workers that say so in their responses, or whose streams end too early. */
 export type StatementFaultKind = (typeof statementFaultKinds)[number];
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -3,7 +3,9 @@
 import { apiKeys, exemptFromTiming, type Environment } from './environment.js';
 import type { Fault, MixedFault } from './fault-plan.js';
 import type { GatewayProcess } from './gateway-process.js';
+import { injectHostileFault } from './inject-hostile-fault.js';
 import { injectStartFault } from './inject-start-fault.js';
+import type { FaultPeriod } from './observations.js';
 import { sleep } from './sleep.js';
 import { shutdownGraceMs, stopRun } from './stop-run.js';
 
@@ -191,9 +193,13 @@
   }
 };
 
-/** Injects a fault; resolves when it has ended. */
-export const injectFault = async (environment: Environment, fault: Fault): Promise<void> => {
+const inject = async (environment: Environment, fault: Fault): Promise<void> => {
   switch (fault.kind) {
+    case 'hostile-callers':
+    case 'cut-heads':
+    case 'repeated-refusals':
+      await injectHostileFault(environment, fault);
+      return;
     case 'reload-in-start':
     case 'terminate-in-start':
     case 'terminate-repeatedly':
@@ -206,3 +212,17 @@
       await injectMixedFault(environment, fault);
   }
 };
+
+/** Injects a fault; resolves when it has ended. */
+export const injectFault = async (environment: Environment, fault: Fault): Promise<void> => {
+  const period: FaultPeriod = {
+    kind: fault.kind,
+    ...('gateway' in fault ? { gateway: elementAt(environment.gateways, fault.gateway).node } : {}),
+    ...('calls' in fault ? { calls: fault.calls } : {}),
+    fromMs: performance.now(),
+    toMs: Infinity,
+  };
+  environment.observations.faultPeriods.push(period);
+  await inject(environment, fault);
+  period.toMs = performance.now();
+};
--- a/packages/soak/src/loopback-proxy.ts
+++ b/packages/soak/src/loopback-proxy.ts
@@ -45,7 +45,10 @@
               heldWrites.push(resolve);
             });
           }
-          to.write(bytes);
+          if (!to.write(bytes) && !to.destroyed) {
+            from.pause();
+            to.once('drain', () => from.resume());
+          }
         });
       });
       from.on('end', () => {
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -5,6 +5,7 @@
   WorkerStatement,
 } from '@zinniagrade/platform-adapter/standins';
 import type { ProcessRecord } from './gateway-run.js';
+import type { HostileCalls } from './hostile-fault-plan.js';
 
 /**
  * A request as its caller saw it. Times are milliseconds of `performance.now()` in the soak
@@ -36,6 +37,17 @@
   toMs: number;
 }
 
+/** When a fault was injected, and at which gateway if at one. */
+export interface FaultPeriod {
+  readonly kind: string;
+  readonly gateway?: string;
+  /** What hostile callers do. */
+  readonly calls?: HostileCalls;
+  readonly fromMs: number;
+  /** Infinite until the fault has ended. */
+  toMs: number;
+}
+
 /** Everything that one soak run observed and injected; input of the checks. */
 export interface Observations {
   readonly requests: SentRequest[];
@@ -43,6 +55,7 @@
   readonly statements: WorkerStatement[];
   readonly timingExemptions: TimingExemption[];
   readonly drainPeriods: DrainPeriod[];
+  readonly faultPeriods: FaultPeriod[];
   /** Time of revocation by API key. */
   readonly keyRevokedAtMs: Map<string, number>;
   /** Every process of every gateway. */
@@ -58,6 +71,7 @@
     statements: [],
     timingExemptions: [],
     drainPeriods: [],
+    faultPeriods: [],
     keyRevokedAtMs: new Map(),
     processes: [],
     faultsEndedAtMs: Infinity,
