Go on when the memory in use can't be read

A gateway with no file descriptor left stopped itself: the system tells the memory in use by files, the reading threw EMFILE ten times a second, and more than ten unexpected errors in 10 s make a process stop.

A reading keeps its former value while it fails, and says so once.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,7 +15,13 @@
 import { LostEntries } from './lost-entries.js';
 import { MemoryGate } from './memory-gate.js';
 import { MemoryLimits } from './memory-limits.js';
-import { MemoryWatch, readMemoryUse, type HeldBytes } from './memory-use.js';
+import {
+  keepFormerValue,
+  MemoryWatch,
+  noMemoryUse,
+  readMemoryUse,
+  type HeldBytes,
+} from './memory-use.js';
 import { createMetricsServer, Metrics } from './metrics.js';
 import { NodePeers } from './node-peers.js';
 import { OpenStream } from './open-stream.js';
@@ -182,7 +188,7 @@
     const limits = MemoryLimits.create(settings.memoryBytes);
     const memory = MemoryGate.create(clock, log, {
       limitBytes: settings.memoryBytes,
-      readResidentBytes,
+      readResidentBytes: keepFormerValue(log, readResidentBytes, 0),
     });
     const context: ServingContext = {
       dataCentre: settings.dataCentre,
@@ -274,13 +280,14 @@
       ...memory.held(),
       responses: context.responseMemory.usedBytes(),
     });
+    const readMemory = keepFormerValue(log, readMemoryUse, noMemoryUse);
     const memoryWatch = MemoryWatch.create(clock, log, {
       limitBytes: settings.memoryBytes,
-      read: readMemoryUse,
+      read: readMemory,
       held: heldBytes,
     });
     metrics.exportMemory(() => ({
-      ...readMemoryUse(),
+      ...readMemory(),
       limit: settings.memoryBytes,
       ...heldBytes(),
     }));
--- a/packages/gateway/src/memory-use.test.ts
+++ b/packages/gateway/src/memory-use.test.ts
@@ -1,7 +1,7 @@
 import { VirtualClock } from '@zinniagrade/clock';
 import { expect } from 'chai';
 import { Log, type LogFields } from './log.js';
-import { MemoryWatch, readMemoryUse } from './memory-use.js';
+import { keepFormerValue, MemoryWatch, readMemoryUse } from './memory-use.js';
 
 describe('memory watch', () => {
   it('logs each step of the memory in use once, with what holds it', () => {
@@ -31,4 +31,25 @@
     expect(resident).to.be.greaterThan(heap);
     expect(buffers).to.be.greaterThan(0);
   });
+
+  it('keeps the former value and goes on while the memory can not be read', () => {
+    // Guards against a process that stops itself as it has no file descriptor left for the reading.
+    const lines: string[] = [];
+    const log: Log = { ...Log.createSilent(), event: (name) => lines.push(name) };
+    let isReadable = true;
+    const read = keepFormerValue(
+      log,
+      () => {
+        if (!isReadable) {
+          throw new Error('EMFILE');
+        }
+        return 7;
+      },
+      0,
+    );
+    expect(read()).to.equal(7);
+    isReadable = false;
+    expect([read(), read()]).to.deep.equal([7, 7]);
+    expect(lines).to.deep.equal(['memory in use not readable']);
+  });
 });
--- a/packages/gateway/src/memory-use.ts
+++ b/packages/gateway/src/memory-use.ts
@@ -11,6 +11,8 @@
   readonly buffers: number;
 }
 
+export const noMemoryUse: MemoryUse = { resident: 0, heap: 0, buffers: 0 };
+
 export const readMemoryUse = (): MemoryUse => {
   const { rss, heapTotal, external } = process.memoryUsage();
   return { resident: rss, heap: heapTotal, buffers: external };
@@ -24,6 +26,31 @@
   globalThis.gc?.(kind === 'minor');
 };
 
+/**
+ * A reading that keeps its former value while it fails: the system tells the memory in use by files,
+ * which can't be opened while no file descriptor is left.
+ */
+export const keepFormerValue = <Value>(
+  log: Log,
+  read: () => Value,
+  initial: Value,
+): (() => Value) => {
+  let value = initial;
+  let isFailing = false;
+  return () => {
+    try {
+      value = read();
+      isFailing = false;
+    } catch (error) {
+      if (!isFailing) {
+        log.event('memory in use not readable', { reason: String(error) });
+      }
+      isFailing = true;
+    }
+    return value;
+  };
+};
+
 /** Bytes that the process holds for its peers, by kind of data. */
 export type HeldBytes = Readonly<Record<string, number>>;
 
