Report a stream's 503 without a seal as an unknown outcome

A 503 of an engine that carried the id, but neither the seal nor the statement that the request had not run, was passed on to the caller, who takes it for a promise that the stream never runs. No such response of a worker was seen; calls other than streams ended with 502 in this case already.

Such a response is now treated as a lost run: 502 before the first event, or the run goes on elsewhere where it may be repeated.

The new ending in the tests of lost streams failed before: "expected [ 502, 502, 502, 200, 200, 502, 503 ] to not include 503". A sealed 503, 429 or 408 without the statement is still passed on unchanged, as the engine's own word.

--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -280,7 +280,8 @@
         // The engine has no copy of the run, or freed it.
         standby = undefined;
       }
-      const canForward = !head.notExecuted && !headSent && head.matchesRequest;
+      // Without the seal a 503 is not the engine's word, and callers would take it for a promise.
+      const canForward = !head.notExecuted && !headSent && head.matchesRequest && head.sealed;
       if (!canForward || recovery() === 'run-again') {
         mayHaveRun = true;
         // The response is complete, so the engine is done with the request.
