Keep a request's response when the next one can't be read

A caller whose second request on a connection was not complete in time, or was no request, got 408 or 400 in place of the response to its first request, which was running. 408 promises that the request has not run and never will.

Cause: the HTTP server of Node refuses what it can't read by writing to the connection, as long as no head was sent on it, also while a former request of the connection is served.

The server now refuses only what has no request before it that is being served. Otherwise the connection closes after the response, without a refusal.

Only callers that send ahead of a response meet this; that the users' ones do is not known.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -9,6 +9,7 @@
   type Service,
   type Target,
 } from '@zinniagrade/serving';
+import { refuseBrokenRequests } from './broken-requests.js';
 import { RequestBodies } from './request-bodies.js';
 import { createLeavingFailure } from './leaving-failure.js';
 import { sendFailure, writeFailure } from './responses.js';
@@ -284,6 +285,7 @@
         context.memory.addConnections(-1);
       });
     });
+    refuseBrokenRequests(server, log);
     return {
       server,
       configure: ({ limits }) => {
