Refuse incomplete large bodies rather than small requests

Small requests got 503 in one of four runs of the stalled-body tests: the first 32 kB of each large body counted as a small one, and filled the part of the share that is kept for those.

A body is now small by its stated length too, and where small ones have no room the largest incomplete bodies are refused for them.

--- a/packages/gateway/src/request-bodies.ts
+++ b/packages/gateway/src/request-bodies.ts
@@ -29,6 +29,8 @@
 const stoppedTimeoutMs = 50;
 /** Bodies up to this size are served while larger ones fill their share. */
 const smallBodyBytes = 32 * 1024;
+/** Incomplete bodies that hold more than this are refused where there is no room for small ones. */
+const minRefusedBytes = 8 * 1024;
 /** Share of the memory for bodies that larger ones can fill. */
 const largeBodiesShare = 0.75;
 /** Memory that a chunk takes beside its bytes. */
@@ -50,15 +52,35 @@
     let stopped: Failure | undefined;
     const pending = new Set<PendingBody>();
 
-    const hasRoom = (bytes: number, newSize: number): boolean =>
-      newSize <= smallBodyBytes
-        ? totalBytes + bytes <= maxTotalBytes
-        : totalBytes + bytes <= maxLargeBytes && gate.allows(bytes);
+    /** Refuses the largest bodies that are not complete, down to a size. */
+    const shed = (bytes: number, minBytes = smallBodyBytes): number => {
+      const largestFirst = [...pending].sort((a, b) => b.heldBytes() - a.heldBytes());
+      let shedBytes = 0;
+      for (const body of largestFirst) {
+        if (shedBytes >= bytes || body.heldBytes() <= minBytes) {
+          break;
+        }
+        shedBytes += body.heldBytes();
+        body.refuse(createMemoryFailure());
+      }
+      return shedBytes;
+    };
+
+    const hasRoom = (bytes: number, isSmall: boolean): boolean => {
+      if (!isSmall) {
+        return totalBytes + bytes <= maxLargeBytes && gate.allows(bytes);
+      }
+      if (totalBytes + bytes > maxTotalBytes) {
+        shed(maxTotalBytes - maxLargeBytes, minRefusedBytes);
+      }
+      return totalBytes + bytes <= maxTotalBytes;
+    };
 
     const read: RequestBodies['read'] = (message, { maxBytes, timeoutMs }) =>
       new Promise((resolve, reject) => {
         /** A body that doesn't fit into the memory for large ones is refused for good. */
         const maxSize = Math.min(maxBytes, maxLargeBytes);
+        const statedBytes = Number(message.headers['content-length'] ?? 0);
         const chunks: Buffer[] = [];
         let size = 0;
         const heldBytes = (): number => size + chunks.length * chunkOverheadBytes;
@@ -87,7 +109,13 @@
             refuse(Failure.create('payload-too-large', detail));
             return;
           }
-          if (!hasRoom(chunk.length + chunkOverheadBytes, newSize)) {
+          const isSmall = Math.max(newSize, statedBytes) <= smallBodyBytes;
+          const fits = hasRoom(chunk.length + chunkOverheadBytes, isSmall);
+          if (!pending.has(body)) {
+            // Refused to make room.
+            return;
+          }
+          if (!fits) {
             refuse(createMemoryFailure());
             return;
           }
@@ -130,21 +158,11 @@
         });
       });
 
-    /** Refuses the largest bodies that are not complete. */
-    const shed = (bytes: number): number => {
-      const largestFirst = [...pending].sort((a, b) => b.heldBytes() - a.heldBytes());
-      let shedBytes = 0;
-      for (const body of largestFirst) {
-        if (shedBytes >= bytes || body.heldBytes() <= smallBodyBytes) {
-          break;
-        }
-        shedBytes += body.heldBytes();
-        body.refuse(createMemoryFailure());
-      }
-      return shedBytes;
-    };
-
-    gate.addHolder({ name: 'requestBodies', heldBytes: () => totalBytes, shed });
+    gate.addHolder({
+      name: 'requestBodies',
+      heldBytes: () => totalBytes,
+      shed: (bytes) => shed(bytes),
+    });
 
     return {
       read,
