Count answers until their callers have read them

Cause: a buffered response left the account as soon as it was complete, and then waited in the queue of its caller's connection, uncounted. Unread events were bounded for each stream, but not for all together.

A response now counts until its caller's connection has taken it. Streams count with what is queued. As the share, now a fifth of the memory, covers more than before, it is twice as large.

--- a/packages/gateway/src/bounded-body.test.ts
+++ b/packages/gateway/src/bounded-body.test.ts
@@ -23,6 +23,8 @@
     // Guards against small responses that fail because another upstream answers without end.
     const memory = BodyMemory.create(0);
     const body = BoundedBody.create(200 * 1024, memory);
+    const fullMemory = BodyMemory.create(100, () => 200);
+    expect(BoundedBody.create(200 * 1024, fullMemory).add(kilobytes(32))).to.equal(true);
     expect(body.add(kilobytes(32))).to.equal(true);
     expect(body.add(kilobytes(1))).to.equal(false);
   });
--- a/packages/gateway/src/bounded-body.ts
+++ b/packages/gateway/src/bounded-body.ts
@@ -16,11 +16,13 @@
 }
 
 export const BodyMemory = {
-  create: (maxBytes: number): BodyMemory => {
+  /** `makeRoom` bounds others that share the memory; it returns the bytes that they hold then. */
+  create: (maxBytes: number, makeRoom?: (availableBytes: number) => number): BodyMemory => {
     let usedBytes = 0;
     return {
       take: (bytes) => {
-        if (usedBytes + bytes > maxBytes) {
+        const availableBytes = maxBytes - usedBytes - bytes;
+        if (availableBytes < 0 || (makeRoom?.(availableBytes) ?? 0) > availableBytes) {
           return false;
         }
         usedBytes += bytes;
@@ -47,8 +49,10 @@
       add: (chunk) => {
         const newSize = size + chunk.length;
         const newCountedBytes = Math.max(0, newSize - uncountedBytes);
+        const addedBytes = newCountedBytes - countedBytes;
+        // Another body may fill the memory, or more than that: the first part needs none of it.
         const isTooLarge = newSize > maxBytes;
-        if (isTooLarge || memory?.take(newCountedBytes - countedBytes) === false) {
+        if (isTooLarge || (addedBytes > 0 && memory?.take(addedBytes) === false)) {
           return false;
         }
         size = newSize;
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -12,6 +12,7 @@
 import type { RouteDurations } from './route-durations.js';
 import type { Rollouts } from './rollouts.js';
 import type { ServiceRecord } from './service-records.js';
+import type { UnreadResponses } from './unread-responses.js';
 import type { UpstreamClient } from './upstream-client.js';
 import type { UpstreamStatements } from './upstream-statements.js';
 import type { ClusterState } from './cluster-state.js';
@@ -29,6 +30,8 @@
   readonly limits: MemoryLimits;
   /** Bounds what is held for peers by the memory that the process uses. */
   readonly memory: MemoryGate;
+  /** Responses that callers have not read yet. */
+  readonly unread: UnreadResponses;
   /** Memory of all responses that are buffered. */
   readonly responseMemory: BodyMemory;
   /** Retry budget and statistics that this node keeps for a service. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,6 @@
 import type { Server } from 'node:http';
 import { Random, type Clock } from '@zinniagrade/clock';
 import { isBelowColdLimit, quarantineMs, type FleetMember } from '@zinniagrade/serving';
-import { BodyMemory } from './bounded-body.js';
 import type { ServingContext } from './call.js';
 import { chooseAddresses, createDirectoryServer } from './directory.js';
 import { CallerServer } from './caller-server.js';
@@ -15,13 +14,7 @@
 import { LostEntries } from './lost-entries.js';
 import { MemoryGate } from './memory-gate.js';
 import { MemoryLimits } from './memory-limits.js';
-import {
-  keepFormerValue,
-  MemoryWatch,
-  noMemoryUse,
-  readMemoryUse,
-  type HeldBytes,
-} from './memory-use.js';
+import { keepFormerValue, MemoryWatch, noMemoryUse, readMemoryUse } from './memory-use.js';
 import { createMetricsServer, Metrics } from './metrics.js';
 import { NodePeers } from './node-peers.js';
 import { OpenStream } from './open-stream.js';
@@ -30,6 +23,7 @@
 import { Registration } from './registration.js';
 import { decideRestoredEntry } from './restored-entry.js';
 import { RequestGuard } from './request-guard.js';
+import { ResponseMemory } from './response-memory.js';
 import { Rollouts } from './rollouts.js';
 import { RouteDurations } from './route-durations.js';
 import { serveCall } from './serve-call.js';
@@ -40,6 +34,7 @@
 import { EngineDrainer } from './engine-drainer.js';
 import { Shutdown } from './shutdown.js';
 import { closeUnusedConnections, limitConnections } from './upstream-connections.js';
+import { UnreadResponses } from './unread-responses.js';
 import { UpstreamStatements } from './upstream-statements.js';
 import { ClusterState, type NodeEntry } from './cluster-state.js';
 
@@ -190,6 +185,8 @@
       limitBytes: settings.memoryBytes,
       readResidentBytes: keepFormerValue(log, readResidentBytes, 0),
     });
+    const unread = UnreadResponses.create(clock, log, limits.maxResponsesBytes);
+    const responseMemory = ResponseMemory.create(memory, unread, limits.maxResponsesBytes);
     const context: ServingContext = {
       dataCentre: settings.dataCentre,
       clock,
@@ -200,7 +197,8 @@
       client: platform.upstreams,
       limits,
       memory,
-      responseMemory: BodyMemory.create(limits.maxResponsesBytes),
+      unread,
+      responseMemory,
       recordOf: serviceRecords.get,
       nodeCount: () => Math.max(1, cluster.nodes.size),
       isWithinRateLimits: (member) => isWithinColdStartLimit(member) && statedLimits.allows(member),
@@ -276,20 +274,16 @@
       }
     });
 
-    const heldBytes = (): HeldBytes => ({
-      ...memory.held(),
-      responses: context.responseMemory.usedBytes(),
-    });
     const readMemory = keepFormerValue(log, readMemoryUse, noMemoryUse);
     const memoryWatch = MemoryWatch.create(clock, log, {
       limitBytes: settings.memoryBytes,
       read: readMemory,
-      held: heldBytes,
+      held: memory.held,
     });
     metrics.exportMemory(() => ({
       ...readMemory(),
       limit: settings.memoryBytes,
-      ...heldBytes(),
+      ...memory.held(),
     }));
 
     const ownEntry = (): NodeEntry => ({
@@ -416,6 +410,7 @@
         stopTicks();
         memoryWatch.stop();
         memory.stop();
+        unread.stop();
         loadPolling.stop();
         rollouts.stop();
         peers.close();
--- a/packages/gateway/src/memory-gate.ts
+++ b/packages/gateway/src/memory-gate.ts
@@ -21,6 +21,8 @@
 export interface MemoryGate {
   /** Records bytes that a peer sent, whether they are held or dropped. */
   readonly recordReceived: (bytes: number) => void;
+  /** Records bytes of large buffers that were freed. */
+  readonly recordFreed: (bytes: number) => void;
   /** Counts connections, whose unread bytes in the system's buffers count as memory too. */
   readonly addConnections: (by: number) => void;
   /** Whether this many more bytes of a large message may be held. */
@@ -37,6 +39,8 @@
 /** Bytes received after which buffers that were dropped are freed; V8 waits for 64 MB. */
 const collectAfterBytes = 4 * 1024 * 1024;
 const minMajorIntervalMs = 1000;
+/** Bytes freed after which a full collection does not wait for the interval. */
+const collectAfterFreedBytes = 16 * 1024 * 1024;
 const minLogIntervalMs = 1000;
 /** Share of the limit above which no more is held. The rest is for what arrives meanwhile. */
 const fullShare = 0.8;
@@ -62,6 +66,7 @@
     let residentBytes = readResidentBytes();
     let receivedSinceRead = 0;
     let receivedSinceCollect = 0;
+    let freedSinceMajor = 0;
     let majorAtMs = -Infinity;
     let loggedAtMs = -Infinity;
 
@@ -83,9 +88,12 @@
     /** Frees buffers that are no longer used, as V8 counts neither them nor the limit. */
     const collectIfFull = (): void => {
       const nowMs = clock.monotonicMs();
-      if (residentBytes < fullBytes() || nowMs - majorAtMs < minMajorIntervalMs) {
+      const isDue =
+        nowMs - majorAtMs >= minMajorIntervalMs || freedSinceMajor >= collectAfterFreedBytes;
+      if (residentBytes < fullBytes() || !isDue) {
         return;
       }
+      freedSinceMajor = 0;
       majorAtMs = nowMs;
       collect('major');
       readUse();
@@ -101,10 +109,11 @@
       for (const holder of holders) {
         excessBytes -= excessBytes > 0 ? holder.shed(excessBytes) : 0;
       }
+      const shedTotal = beforeBytes - heldTotal();
+      freedSinceMajor += shedTotal;
       const nowMs = clock.monotonicMs();
-      if (nowMs - loggedAtMs >= minLogIntervalMs) {
+      if (shedTotal > 0 && nowMs - loggedAtMs >= minLogIntervalMs) {
         loggedAtMs = nowMs;
-        const shedTotal = beforeBytes - heldTotal();
         log.event('memory short', { resident: residentBytes, shed: shedTotal, ...heldBefore });
       }
     };
@@ -129,6 +138,9 @@
           collectIfFull();
         }
       },
+      recordFreed: (bytes) => {
+        freedSinceMajor += bytes;
+      },
       addConnections: (by) => {
         connections += by;
       },
--- a/packages/gateway/src/memory-limits.ts
+++ b/packages/gateway/src/memory-limits.ts
@@ -4,7 +4,10 @@
   readonly maxRequestBodyBytes: number;
   /** Response of an upstream that is buffered as a whole. */
   readonly maxResponseBytes: number;
-  /** All responses that are buffered at the same time, without the first part of each. */
+  /**
+   * All responses that are buffered or not read by their callers at the same time, without the
+   * first part of each that is buffered.
+   */
   readonly maxResponsesBytes: number;
   /** One event of a stream. */
   readonly maxEventBytes: number;
@@ -14,7 +17,7 @@
 
 const requestBodyShare = 0.2;
 const responseShare = 0.05;
-const responsesShare = 0.1;
+const responsesShare = 0.2;
 const eventShare = 1 / 512;
 /** Hundreds of streams are open on one node at the same time. */
 const unsentShare = 1 / 1024;
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -99,18 +99,20 @@
       );
     };
 
+    const endUnread = (): void => {
+      logStep('caller does not read', segment?.member, `${String(response.writableLength)} bytes`);
+      call.fail(Failure.create('caller-too-slow', 'the caller does not read its stream'));
+    };
+
     const forwardEvent = (event: StreamEvent): void => {
       if (call.isEnded() || !progress.accept(event)) {
         return;
       }
       response.write(event.bytes);
       if (response.writableLength > context.limits.maxUnsentBytes) {
-        logStep(
-          'caller does not read',
-          segment?.member,
-          `${String(response.writableLength)} bytes`,
-        );
-        call.fail(Failure.create('caller-too-slow', 'the caller does not read its stream'));
+        endUnread();
+      } else {
+        context.unread.recordWrite(response, endUnread);
       }
     };
 
@@ -291,7 +293,7 @@
         }
         return;
       }
-      forwardResponse(response, head, body);
+      forwardResponse(context.unread, response, head, body);
       call.finish('upstream-error');
     };
 
--- a/packages/gateway/src/responses.ts
+++ b/packages/gateway/src/responses.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import { Problem, type Failure } from '@zinniagrade/errors';
+import type { UnreadResponses } from './unread-responses.js';
 import type { ResponseHead } from './upstream-client.js';
 
 const msPerSecond = 1000;
@@ -36,12 +37,13 @@
 
 /** Sends a complete upstream response to the caller. */
 export const forwardResponse = (
+  unread: UnreadResponses,
   response: ServerResponse,
   head: ResponseHead,
   body: Buffer,
 ): void => {
   response.writeHead(head.status, [...head.headers, 'Content-Length', String(body.length)]);
-  response.end(body);
+  unread.end(response, body);
 };
 
 /** Sends the status and headers of a streamed response. */
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -77,7 +77,7 @@
 
   const endUnserved = (refusal?: Failure): void => {
     if (failedResponse !== undefined) {
-      forwardResponse(call.response, failedResponse.head, failedResponse.body);
+      forwardResponse(context.unread, call.response, failedResponse.head, failedResponse.body);
       call.finish('upstream-error');
       return;
     }
@@ -172,7 +172,7 @@
     if (head.status < 300) {
       context.guard.onSound(call);
     }
-    forwardResponse(call.response, head, body);
+    forwardResponse(context.unread, call.response, head, body);
     call.finish(failed ? 'upstream-error' : 'complete');
   };
 
