Collect garbage again only when there is more to free

A gateway whose memory in use stays above the mark although nothing is held would pause each second for a full collection that frees nothing. By the former code there was one a second (read; the test was not run on it).

--- a/packages/gateway/src/memory-gate.test.ts
+++ b/packages/gateway/src/memory-gate.test.ts
@@ -74,6 +74,21 @@
     expect(holder.shedBytes()).to.be.closeTo(12 * megabyte, megabyte);
   });
 
+  it('does not collect again and again while the memory in use stays high', () => {
+    // Guards against a pause of the process each second for a collection that frees nothing.
+    let resident = 190 * megabyte;
+    const collected: string[] = [];
+    const { clock, gate } = createGate(() => resident, collected);
+    clock.advance(10_000);
+    expect(collected).to.deep.equal(['major']);
+    resident = 195 * megabyte;
+    clock.advance(10_000);
+    expect(collected).to.deep.equal(['major', 'major']);
+    gate.recordFreed(16 * megabyte);
+    clock.advance(50);
+    expect(collected).to.have.length(3);
+  });
+
   it('reads the memory and frees dropped buffers while much is received', () => {
     // Guards against buffers that add up between two runs of the timer.
     let reads = 0;
--- a/packages/gateway/src/memory-gate.ts
+++ b/packages/gateway/src/memory-gate.ts
@@ -39,6 +39,8 @@
 /** Bytes received after which buffers that were dropped are freed; V8 waits for 64 MB. */
 const collectAfterBytes = 4 * 1024 * 1024;
 const minMajorIntervalMs = 1000;
+/** Growth of the memory in use, as a share of the limit, without which a collection is not repeated. */
+const minGrowthShare = 0.02;
 /** Bytes freed after which a full collection does not wait for the interval. */
 const collectAfterFreedBytes = 16 * 1024 * 1024;
 const minLogIntervalMs = 1000;
@@ -68,6 +70,7 @@
     let receivedSinceCollect = 0;
     let freedSinceMajor = 0;
     let majorAtMs = -Infinity;
+    let residentAfterMajor = -Infinity;
     let loggedAtMs = -Infinity;
 
     const held = (): HeldBytes =>
@@ -85,18 +88,23 @@
       receivedSinceRead = 0;
     };
 
+    /** A collection that freed nothing is not repeated until there is more to free. */
+    const isCollectionDue = (nowMs: number): boolean =>
+      freedSinceMajor >= collectAfterFreedBytes ||
+      (nowMs - majorAtMs >= minMajorIntervalMs &&
+        residentBytes >= residentAfterMajor + limitBytes * minGrowthShare);
+
     /** Frees buffers that are no longer used, as V8 counts neither them nor the limit. */
     const collectIfFull = (): void => {
       const nowMs = clock.monotonicMs();
-      const isDue =
-        nowMs - majorAtMs >= minMajorIntervalMs || freedSinceMajor >= collectAfterFreedBytes;
-      if (residentBytes < fullBytes() || !isDue) {
+      if (residentBytes < fullBytes() || !isCollectionDue(nowMs)) {
         return;
       }
       freedSinceMajor = 0;
       majorAtMs = nowMs;
       collect('major');
       readUse();
+      residentAfterMajor = residentBytes;
     };
 
     const shed = (): void => {
