Bound what a peer may send to the port between nodes before its proof

Cause: each connection could hold a frame of 256 KiB for 2 s before the handshake, and their number had no bound. At most 4 KiB count as a handshake now, and at most 256 connections wait for theirs; the oldest makes room. An error of the open server is reported instead of thrown.

The two new tests were not run on the former code.

--- a/packages/frames/src/frame-connection.ts
+++ b/packages/frames/src/frame-connection.ts
@@ -5,6 +5,10 @@
 import { encodeMessage, MessageAssembler } from './message-parts.js';
 
 const handshakeTimeoutMs = 2000;
+/** A hello and a proof; anybody can connect, so that no more is held before the proof. */
+const maxHandshakeBytes = 4096;
+/** Connections to a server that have not proved who they are; above it the oldest is closed. */
+const maxPendingHandshakes = 256;
 /** Limit on unsent bytes; a peer that does not read fast enough to stay below it is cut off. */
 const maxBufferedBytes = 4 * 1024 * 1024;
 
@@ -205,6 +209,9 @@
         }
       },
     });
+    if (connection === undefined && socket.bytesRead > maxHandshakeBytes) {
+      fail(`handshake failed: more than ${maxHandshakeBytes} bytes`);
+    }
   });
   socket.on('error', (error) => {
     failure ??= Failure.create('upstream-unreachable', error.message);
@@ -244,14 +251,36 @@
 ): Promise<FrameServer> =>
   new Promise((resolve, reject) => {
     const sockets = new Set<Socket>();
+    const pending = new Set<Socket>();
+    const closeOldestPending = (): void => {
+      const [oldest] = pending;
+      if (oldest !== undefined && pending.size > maxPendingHandshakes) {
+        oldest.destroy();
+        pending.delete(oldest);
+      }
+    };
     const server: Server = createServer((socket) => {
       sockets.add(socket);
-      socket.on('close', () => sockets.delete(socket));
-      startConnection(socket, 'server', settings, handlers);
+      pending.add(socket);
+      closeOldestPending();
+      socket.on('close', () => {
+        sockets.delete(socket);
+        pending.delete(socket);
+      });
+      startConnection(socket, 'server', settings, {
+        ...handlers,
+        onOpen: (connection) => {
+          pending.delete(socket);
+          handlers.onOpen(connection);
+        },
+      });
     });
     server.once('error', reject);
     server.listen(address.port, address.host, () => {
       server.off('error', reject);
+      server.on('error', (error) => {
+        handlers.onClose(undefined, Failure.create('upstream-unreachable', error.message));
+      });
       resolve({
         port: (server.address() as AddressInfo).port,
         close: () =>
--- a/packages/frames/src/frames.test.ts
+++ b/packages/frames/src/frames.test.ts
@@ -184,3 +184,37 @@
     expect(await closed).to.equal(undefined);
   });
 });
+
+describe('handshakes of frame servers', () => {
+  it('end after more bytes than a handshake has', async () => {
+    // Guards against a process whose memory is filled by peers that never prove who they are.
+    const server = await listenFrames(address, { secret: 's', name: 'server' }, noHandlers);
+    const socket = connect(server.port, address.host);
+    const isClosed = new Promise((resolve) => socket.once('close', resolve));
+    socket.on('error', () => undefined);
+    socket.resume();
+    const header = Buffer.alloc(4);
+    header.writeUInt32BE(maxFrameBytes, 0);
+    socket.write(Buffer.concat([header, Buffer.alloc(8192)]));
+    await isClosed;
+    await server.close();
+  }).timeout(1500);
+
+  it('are bounded in number, and the oldest is closed for a new one', async () => {
+    // Guards against peers that take all file descriptors without proving who they are.
+    const server = await listenFrames(address, { secret: 's', name: 'server' }, noHandlers);
+    let closed = 0;
+    const sockets = Array.from({ length: 300 }, () => {
+      const socket = connect(server.port, address.host);
+      socket.on('error', () => undefined);
+      socket.on('close', () => (closed += 1));
+      return socket.resume();
+    });
+    await new Promise((resolve) => setTimeout(resolve, 700));
+    expect(closed).to.equal(300 - 256);
+    for (const socket of sockets) {
+      socket.destroy();
+    }
+    await server.close();
+  });
+});
