Open the port between nodes again after it was taken

A node whose port between nodes was still held, for example by its former process in its grace period, stayed without links for good: opening was only repeated when the entry of the link secret changed.

It is tried every 300 ms until it opens.

--- a/packages/gateway/src/node-peers.ts
+++ b/packages/gateway/src/node-peers.ts
@@ -79,6 +79,7 @@
 const turnCount = 8;
 /** Time within which a node's announcement reaches the others. */
 const turnLengthMs = 9;
+const openRetryDelayMs = 300;
 /** Changes within this time are sent together. */
 const batchDelayMs = 4;
 /**
@@ -270,16 +271,24 @@
       });
     };
 
+    /** The address may still be held by an earlier process of this node. */
+    const openUntilDone = (secret: string): void => {
+      open(secret).catch((error: unknown) => {
+        log.event('failed to open node links', { reason: String(error) });
+        clock.after(openRetryDelayMs, () => {
+          if (!closed) {
+            openUntilDone(secret);
+          }
+        });
+      });
+    };
+
     return {
       open: (secret) => {
-        if (opening) {
-          return;
+        if (!opening) {
+          opening = true;
+          openUntilDone(secret);
         }
-        opening = true;
-        open(secret).catch((error: unknown) => {
-          opening = false;
-          log.event('failed to open node links', { reason: String(error) });
-        });
       },
       onUseChanged: () => {
         broadcast.markUsesChanged();
