--- a/packages/gateway/src/bounded-body.test.ts
+++ b/packages/gateway/src/bounded-body.test.ts
@@ -19,6 +19,28 @@
     expect(second.toBuffer()).to.have.lengthOf(100 * 1024);
   });
 
+  it('takes little more than its bytes if it comes in chunks of one byte', () => {
+    // Guards against a response of 1 MB that fills the JavaScript heap with its chunks.
+    const body = BoundedBody.create(10_000);
+    for (let index = 0; index < 10_000; index += 1) {
+      expect(body.add(Buffer.from([index % 256]))).to.equal(true);
+    }
+    expect(body.chunkCount()).to.equal(3);
+    const whole = body.toBuffer();
+    expect([whole.length, whole[0], whole[4096], whole[9999]]).to.deep.equal([10_000, 0, 0, 15]);
+  });
+
+  it('keeps chunks of all sizes in order', () => {
+    // Guards against a response whose parts are swapped as small ones are copied.
+    const body = BoundedBody.create(100_000);
+    const sizes = [1, 4095, 1, 5000, 3, 4096, 2, 4094];
+    const chunks = sizes.map((size, index) => Buffer.alloc(size, index));
+    for (const chunk of chunks) {
+      body.add(chunk);
+    }
+    expect(body.toBuffer().equals(Buffer.concat(chunks))).to.equal(true);
+  });
+
   it('always has room for its first part', () => {
     // Guards against small responses that fail because another upstream answers without end.
     const memory = BodyMemory.create(0);
