End requests that wait behind another when their connection closes

Node.js emits no 'close' for a response that is queued behind another one when the connection closes. The request bodies of callers that send ahead were then held for ever: 10 MB more for each 50 closed connections, until bodies were refused, and a shutdown used its whole grace period.

The close of a response is now told by its connection as well, and a connection that is given up is found by the request.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -12,6 +12,7 @@
 import { refuseBrokenRequests } from './broken-requests.js';
 import { RequestBodies } from './request-bodies.js';
 import { createLeavingFailure } from './leaving-failure.js';
+import { onResponseClose } from './response-close.js';
 import { sendFailure, writeFailure } from './responses.js';
 import type { Call, ServingContext } from './call.js';
 import type { CallerRequest, ReadCallerRequest } from './caller-request.js';
@@ -105,7 +106,7 @@
         }
       };
       const callerDeadlineAtMs = arrivedAtMs + (request.waitsMs ?? defaultCallerTimeoutMs);
-      response.on('close', () => {
+      onResponseClose(response, () => {
         if (!ended) {
           end('caller-left');
         }
@@ -165,10 +166,10 @@
     };
 
     const releaseWhenClosed = (response: ServerResponse, body: Buffer): void => {
-      if (response.destroyed) {
+      if (response.destroyed || response.req.socket.destroyed) {
         bodies.release(body);
       } else {
-        response.once('close', () => {
+        onResponseClose(response, () => {
           bodies.release(body);
         });
       }
@@ -266,7 +267,7 @@
 
     const server = createServer({ keepAliveTimeout: 0 }, (message, response) => {
       activeRequests += 1;
-      response.once('close', () => {
+      onResponseClose(response, () => {
         activeRequests -= 1;
       });
       response.on('error', (error) => {
--- a/packages/gateway/src/unread-responses.ts
+++ b/packages/gateway/src/unread-responses.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Clock } from '@zinniagrade/clock';
 import type { Log } from './log.js';
+import { onResponseClose } from './response-close.js';
 
 /** Responses that callers have not taken yet, with a limit on the memory that all of them hold. */
 export interface UnreadResponses {
@@ -64,7 +65,7 @@
         queuedBytes: response.writableLength,
       };
       unread.set(response, entry);
-      response.once('close', () => unread.delete(response));
+      onResponseClose(response, () => unread.delete(response));
       return entry;
     };
 
@@ -121,7 +122,7 @@
             add(
               response,
               () => body.length,
-              () => response.socket?.resetAndDestroy(),
+              () => response.req.socket.resetAndDestroy(),
             );
           }
           return;
@@ -129,7 +130,7 @@
         const entry = add(
           response,
           () => body.length,
-          () => response.socket?.resetAndDestroy(),
+          () => response.req.socket.resetAndDestroy(),
         );
         writePieces(response, body, () => {
           entry.lastReadAtMs = clock.monotonicMs();
