--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -26,6 +26,9 @@
  * connection is closed.
  */
 const lingerMs = 500;
+/** Each line of a head takes a multiple of its bytes for as long as its request is open. */
+const maxHeaderLines = 100;
+
 export interface CallerServerOptions {
   readonly read: ReadCallerRequest;
   readonly serveCall: (call: Call) => void;
@@ -188,6 +191,12 @@
 
     const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
       const arrivedAtMs = clock.monotonicMs();
+      if (message.rawHeaders.length > 2 * maxHeaderLines) {
+        response.shouldKeepAlive = false;
+        const detail = `the head has more than ${String(maxHeaderLines)} header lines`;
+        refuse(response, undefined, Failure.create('invalid-request', detail));
+        return;
+      }
       const read = options.read(message);
       if (read.isLeft()) {
         refuse(response, undefined, read.swap().unsafeCoerce());
@@ -280,6 +289,7 @@
       });
     });
     server.requestTimeout = 0;
+    server.maxHeadersCount = maxHeaderLines + 1;
     server.on('connection', (socket) => {
       context.memory.addConnections(1);
       socket.once('close', () => {
