--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -83,6 +83,7 @@
       const prompt = promptParts.join();
       const fingerprint = fingerprintOf(account?.name ?? '', method, host, url, prompt, body);
       const listeners: (() => void)[] = [];
+      const versionAtArrival = cluster.configuration()?.version;
       let ended = false;
       metrics.addOpenRequests(1);
       const endDuration = context.durations.start(route.name);
@@ -98,6 +99,8 @@
           kind: route.kind,
           account: account?.name,
           configuration: cluster.configuration()?.version,
+          configurationAtArrival: versionAtArrival,
+          timeoutMs: route.timeoutMs,
           outcome,
           detail,
           fingerprint: outcome === 'complete' ? undefined : fingerprint,
