Give streams in progress the time that a later version allows

Callers of a stream got part of it and a closed connection when the time-out of its route had been raised, or put right after a mistake, while the stream went on: it was ended at the time-out of the version under which it had arrived.

Cause: the deadline was computed once, at the arrival of a request, and the engine got it as its own, so that it would have stopped as well.

The deadline is now the longest time-out that the request's route has had since it arrived, up to the caller's own deadline, and moves when a version comes into force. Engines get the time that the caller waits; the node ends the stream at the route's time-out and closes the connection. Calls still hand over the route's time, as a call that is ended gets a complete answer and a waiting one should not start after it.

Evidence: of the four tests of changed-timeouts, the two in which a time-out is raised failed before (stream cut after 600 ms) and pass now; those in which it is lowered passed before and after. Ruled out: that a lowered time-out cuts streams. 460 tests of gateway and platform pass.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -8,6 +8,7 @@
 import type { MemoryGate } from './memory-gate.js';
 import type { MemoryLimits } from './memory-limits.js';
 import type { Metrics } from './metrics.js';
+import type { RequestDeadline } from './request-deadline.js';
 import type { RequestGuard } from './request-guard.js';
 import type { RouteDurations } from './route-durations.js';
 import type { Rollouts } from './rollouts.js';
@@ -80,8 +81,8 @@
   readonly arrivedAtMs: number;
   /** Time at which the caller stops waiting. */
   readonly callerDeadlineAtMs: number;
-  /** The caller's deadline or the end of the route's timeout, whichever is first. */
-  readonly deadlineAtMs: number;
+  /** When the call ends unanswered; versions that raise the route's time-out move it. */
+  readonly deadline: Pick<RequestDeadline, 'atMs' | 'timeoutMs' | 'onReached'>;
   /** Ends the call with an error of the gateway. Has no effect after the call has ended. */
   readonly fail: (failure: Failure) => void;
   /** Ends the call after its response was sent to the caller. */
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -11,6 +11,7 @@
 } from '@zinniagrade/serving';
 import { refuseBrokenRequests } from './broken-requests.js';
 import { RequestBodies } from './request-bodies.js';
+import { RequestDeadline } from './request-deadline.js';
 import { createLeavingFailure } from './leaving-failure.js';
 import { onResponseClose } from './response-close.js';
 import { sendFailure, writeFailure } from './responses.js';
@@ -40,12 +41,24 @@
 /** HTTP server for callers: reads and checks requests, and passes them on to be served. */
 export interface CallerServer {
   readonly server: Server;
-  /** Applies the connection limits of a configuration. */
+  /** Applies the connection limits and the time-outs of a configuration that came into force. */
   readonly configure: (configuration: Configuration) => void;
   /** Requests from the arrival of their head until their response was sent. */
   readonly activeRequests: () => number;
 }
 
+/** A request that was read, with what the configuration in force at its arrival says of it. */
+interface RoutedRequest {
+  readonly request: CallerRequest;
+  readonly body: Buffer;
+  readonly response: ServerResponse;
+  readonly route: Route;
+  readonly service: Service;
+  readonly account: Call['account'];
+  readonly configuration: Configuration;
+  readonly arrivedAtMs: number;
+}
+
 const chooseTarget = (targets: readonly Target[], random: () => number): Target | undefined => {
   let total = 0;
   for (const target of targets) {
@@ -65,30 +78,42 @@
   create: (context: ServingContext, options: CallerServerOptions): CallerServer => {
     const { clock, log, metrics, cluster } = context;
     const bodies = RequestBodies.create(clock, context.limits.maxRequestBodyBytes, context.memory);
+    /** Deadlines of open calls, with the request that names the route in each version. */
+    const openDeadlines = new Map<RequestDeadline, CallerRequest>();
     let activeRequests = 0;
     options.onReadingEnds(() => {
       bodies.stopReading(createLeavingFailure());
     });
 
-    const createCall = (
-      request: CallerRequest,
-      body: Buffer,
-      response: ServerResponse,
-      route: Route,
-      service: Service,
-      account: Call['account'],
-      arrivedAtMs: number,
-    ): Call => {
+    const allowTimeoutInForce = (deadline: RequestDeadline, { host, url }: CallerRequest): void => {
+      const route = cluster.routes()?.find(host, url);
+      if (route !== undefined) {
+        deadline.allow(route.timeoutMs);
+      }
+    };
+
+    const createCall = (routed: RoutedRequest): Call => {
+      const { request, body, response, route, service, account, arrivedAtMs } = routed;
       const { method, host, url, promptParts } = request;
       const prompt = promptParts.join();
       const fingerprint = fingerprintOf(account?.name ?? '', method, host, url, prompt, body);
       const listeners: (() => void)[] = [];
-      const versionAtArrival = cluster.configuration()?.version;
       let ended = false;
       metrics.addOpenRequests(1);
       const endDuration = context.durations.start(route.name);
+      const callerDeadlineAtMs = arrivedAtMs + (request.waitsMs ?? defaultCallerTimeoutMs);
+      const deadline = RequestDeadline.create(clock, {
+        arrivedAtMs,
+        callerDeadlineAtMs,
+        timeoutMs: route.timeoutMs,
+      });
+      // A version may have come while the body was being read.
+      allowTimeoutInForce(deadline, request);
+      openDeadlines.set(deadline, request);
       const end = (outcome: string, detail?: string, retryAfterMs?: number): void => {
         ended = true;
+        deadline.stop();
+        openDeadlines.delete(deadline);
         metrics.addOpenRequests(-1);
         endDuration(outcome === 'complete');
         const tookMs = clock.monotonicMs() - arrivedAtMs;
@@ -99,8 +124,8 @@
           kind: route.kind,
           account: account?.name,
           configuration: cluster.configuration()?.version,
-          configurationAtArrival: versionAtArrival,
-          timeoutMs: route.timeoutMs,
+          configurationAtArrival: routed.configuration.version,
+          timeoutMs: deadline.timeoutMs(),
           outcome,
           detail,
           fingerprint: outcome === 'complete' ? undefined : fingerprint,
@@ -111,7 +136,6 @@
           listener();
         }
       };
-      const callerDeadlineAtMs = arrivedAtMs + (request.waitsMs ?? defaultCallerTimeoutMs);
       onResponseClose(response, () => {
         if (!ended) {
           end('caller-left');
@@ -131,7 +155,7 @@
         allowsVersionOf: context.rollouts.chooseVersion(service.name),
         arrivedAtMs,
         callerDeadlineAtMs,
-        deadlineAtMs: Math.min(callerDeadlineAtMs, arrivedAtMs + route.timeoutMs),
+        deadline,
         fail: (failure) => {
           if (!ended) {
             end(failure.kind, failure.detail, failure.retryAfterMs);
@@ -265,7 +289,16 @@
       if (context.isLeaving()) {
         response.shouldKeepAlive = false;
       }
-      const call = createCall(request, body, response, route, service, account, arrivedAtMs);
+      const call = createCall({
+        request,
+        body,
+        response,
+        route,
+        service,
+        account,
+        configuration,
+        arrivedAtMs,
+      });
       if (!context.canFinish(call)) {
         call.fail(createLeavingFailure());
         return;
@@ -305,6 +338,9 @@
       configure: ({ limits }) => {
         server.keepAliveTimeout = limits.idleTimeoutMs;
         server.headersTimeout = limits.headerTimeoutMs;
+        for (const [deadline, request] of openDeadlines) {
+          allowTimeoutInForce(deadline, request);
+        }
       },
       activeRequests: () => activeRequests,
     };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -220,7 +220,7 @@
       isLeaving: shutdown.hasBegun,
       canFinish: (call) =>
         shutdown.canFinish({
-          maxMs: call.deadlineAtMs - clock.monotonicMs(),
+          maxMs: call.deadline.atMs() - clock.monotonicMs(),
           recentMs: durations.longestMs(call.route.name),
         }),
     };
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -409,7 +409,7 @@
     call.onEnded(() => {
       segment?.close();
     });
-    const cancelTimeout = clock.after(call.deadlineAtMs - clock.monotonicMs(), () => {
+    call.deadline.onReached(() => {
       if (segment === undefined) {
         refuseUnaccepted();
       } else {
@@ -418,7 +418,6 @@
         );
       }
     });
-    call.onEnded(cancelTimeout);
     const stopWatch = watchSilence(clock, {
       lastProgressAtMs: () => Math.max(progress.lastEventAtMs(), segment?.sentAtMs ?? 0),
       maxSilenceMs: () =>
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -261,7 +261,7 @@
         upstream,
         request,
         body: call.body,
-        remainingMs: call.deadlineAtMs - sentAtMs,
+        remainingMs: call.deadline.atMs() - sentAtMs,
         ...(call.account === undefined ? {} : { account: call.account.name }),
       },
       {
@@ -331,17 +331,16 @@
     const cancelHedge = clock.after(route.goalMs * hedgeDelayGoalShare, hedge);
     call.onEnded(cancelHedge);
   }
-  const cancelTimeout = clock.after(call.deadlineAtMs - clock.monotonicMs(), () => {
+  call.deadline.onReached(() => {
     if (sends === 0) {
       endUnserved();
     } else {
       call.fail(
         Failure.create(
           'upstream-timeout',
-          `no response before the deadline; the route's timeout is ${String(route.timeoutMs)} ms`,
+          `no response before the deadline; the route's timeout is ${String(call.deadline.timeoutMs())} ms`,
         ),
       );
     }
   });
-  call.onEnded(cancelTimeout);
 };
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -169,7 +169,8 @@
         upstream: member.upstream,
         request: call.request,
         body: call.body,
-        remainingMs: call.deadlineAtMs - sentAtMs,
+        // The engine stops at this time, and a later version may raise the route's time-out.
+        remainingMs: call.callerDeadlineAtMs - sentAtMs,
         ...(call.account === undefined ? {} : { account: call.account.name }),
         ...(copy === undefined ? {} : { copy }),
         ...(afterEvent === undefined ? {} : { afterEvent }),
