Close no sound stream before its engine has confirmed the stop

What callers saw: streams that had to leave a sound engine ended as generation-lost.

Cause: a move closed the connection to the source and asked for the run's end afterwards. Most engines drop a run when its connection closes. Where the target then refused the continuation (no backup there, no room), nothing was left to go back to, and the copy that the source keeps of a stopped run was freed at once.

Fix: a move tells the source to stop the run while its connection stays open (planned-stop.ts). Events that still arrive are passed on; the end of the response that the stop causes is held back until the reply. A run that is not confirmed to have stopped (409, 404, 503 without a handle, no reply) stays where it is and moves later. A stopped run goes on from the first copy that an engine takes: the one at the target, the one that the source keeps, a backup (continuation-copies.ts). Copies that are not used are freed. Streams that went back, or that had no event yet when their engine began to leave, are checked again after 100 ms; before, no further check was certain to come.

Why this works: the reply, the close of the response in order before its stated end, or a list without the run after a reset, is the engine's own word that it no longer works on it, so nothing runs twice; and the source's memory stays until an engine has accepted the continuation. An end in order may be the stop or a complete run: only a reply of "no such run" with no earlier stop unanswered lets it count as complete.

Ruled out: asking kv-move again from the source's handle; the protocol has that call only for a run that runs. Going on elsewhere when a continuation was sent and lost without an answer: it may have run. Closing when the stop has no reply: a lost engine is found by its connection and by the silence watch, and a sound one would be closed for nothing.

No existing test was changed. open-stream.ts loses the recovery of interrupted streams to stream-continuation.ts.

--- a/packages/gateway/src/engine-drainer.ts
+++ b/packages/gateway/src/engine-drainer.ts
@@ -20,6 +20,12 @@
  */
 const batchDelayMs = 12;
 
+/**
+ * A stream that an engine has not begun, or that went back to an engine that is leaving, can't be
+ * moved before its next event.
+ */
+const recheckDelayMs = 100;
+
 /** Longest streams first: losing them wastes the most work. */
 const byExpectedTokensDescending = (a: OpenStream, b: OpenStream): number =>
   b.expectedTokens() - a.expectedTokens();
@@ -33,6 +39,7 @@
     const streams = new Set<OpenStream>();
     const activeMoves = new Map<string, number>();
     let scheduled = false;
+    let recheckScheduled = false;
 
     const mustMove = (member: FleetMember | undefined): boolean =>
       member !== undefined && (member.leaving || context.rollouts.isSuperseded(member));
@@ -53,12 +60,26 @@
       });
     };
 
+    const scheduleRecheck = (): void => {
+      if (!recheckScheduled) {
+        recheckScheduled = true;
+        context.clock.after(recheckDelayMs, () => {
+          recheckScheduled = false;
+          scheduleCheck();
+        });
+      }
+    };
+
     const startMoves = (): void => {
       scheduled = false;
       const leaving = [...streams].filter((stream) => mustMove(stream.member()));
       for (const stream of leaving.sort(byExpectedTokensDescending)) {
         const member = stream.member();
-        if (member === undefined || !stream.isMovable()) {
+        if (member === undefined) {
+          continue;
+        }
+        if (!stream.isMovable()) {
+          scheduleRecheck();
           continue;
         }
         if ((activeMoves.get(member.upstream.id) ?? 0) < maxMovesPerEngine) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -243,6 +243,9 @@
       },
       serveStream: (call, engine) => {
         const stream = OpenStream.create(context, call, engine);
+        if (!engine.movable) {
+          return;
+        }
         engineDrainer.add(stream);
         call.onEnded(() => {
           engineDrainer.remove(stream);
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -1,8 +1,6 @@
 import { Failure } from '@zinniagrade/errors';
 import {
-  callerPatienceMs,
   decideRecovery,
-  maxRunEndWaitMs,
   maxSilenceMs,
   recordAnswer,
   type Engine,
@@ -13,10 +11,11 @@
 import { beginStreamResponse, forwardResponse } from './responses.js';
 import type { Call, ServingContext } from './call.js';
 import { watchSilence } from './silence-watch.js';
+import { PlannedStops } from './planned-stop.js';
 import { StreamMigration } from './stream-migration.js';
-import { awaitRunEnd, type RunEnd } from './run-end.js';
 import { canRecover, type Standby } from './standby.js';
 import { StreamAdmission } from './stream-admission.js';
+import { StreamContinuation } from './stream-continuation.js';
 import { StreamSegment } from './stream-segment.js';
 import { StreamPlacement } from './stream-placement.js';
 import { StreamProgress } from './stream-progress.js';
@@ -52,7 +51,7 @@
  */
 export const OpenStream = {
   create: (context: ServingContext, call: Call, engine: Engine): OpenStream => {
-    const { clock, log, metrics, client } = context;
+    const { clock, log, client } = context;
     const { request, route, service, response } = call;
     const placement = StreamPlacement.create(context, call, engine);
     const progress = StreamProgress.create(context, call);
@@ -163,90 +162,9 @@
         maxRuns: route.maxAttempts,
       });
 
-    /** Closes a segment; resolves when its engine no longer works on it, see `awaitRunEnd`. */
-    const stop = (closing: StreamSegment, target: FleetMember | undefined): Promise<RunEnd> => {
-      closing.close();
-      return awaitRunEnd(context, {
-        upstream: closing.member.upstream,
-        requestId: request.id,
-        begunAtMs: closing.firstEventAtMs(),
-        target: target?.upstream,
-        movable: engine.movable,
-        maxWaitMs: maxRunEndWaitMs(callerPatienceMs(route.goalMs, route.gapGoalMs)),
-      });
-    };
-
-    const endAsLost = (outcome: string, reason: string): void => {
-      logStep(outcome, segment?.member, reason);
-      metrics.countDecision('stream-lost');
-      call.fail(Failure.create('generation-lost', reason));
-    };
-
-    const onNotStopped = (): void => {
-      endAsLost('not stopped', 'the engine goes on with the run and does not stop it');
-    };
-
-    /** Ends the stream if upstreams were lost on requests like it; returns whether it did. */
-    const endIfHarmful = (reason: string): boolean => {
-      if (context.guard.allowsRepeat(call)) {
-        return false;
-      }
-      logStep('not repeated', segment?.member, 'upstreams were lost on such requests');
-      call.fail(Failure.create('generation-lost', reason));
-      return true;
-    };
-
-    /** Continues an interrupted stream, or runs it again; ends it if neither is possible. */
-    const goOn = (reason: string, copyOfStop: RunCopy | undefined): void => {
-      const backup = usableStandby();
-      const decision = recovery();
-      if (decision === 'continue-from-copy' && backup !== undefined) {
-        continueAt(backup.holder, copyOfStop ?? backup.copy, reason);
-        return;
-      }
-      if (
-        decision === 'run-again' &&
-        budget.tryTakeRetry(clock.monotonicMs(), context.nodeCount())
-      ) {
-        logStep('run again', segment?.member, reason);
-        progress.recordMove();
-        admit();
-        return;
-      }
-      endAsLost('lost', reason);
-    };
-
-    /**
-     * Lets a stream go on whose engine was lost, once that engine no longer works on it, or ends the
-     * stream.
-     */
-    const recover = async (lost: StreamSegment, reason: string): Promise<void> => {
+    const recover = (lost: StreamSegment, reason: string): void => {
       mayHaveRun = true;
-      if (endIfHarmful(reason)) {
-        return;
-      }
-      if (recovery() === 'end') {
-        endAsLost('lost', reason);
-        return;
-      }
-      const backup = usableStandby();
-      const end = await stop(lost, backup?.holder ?? placement.place(triedEngines, 0));
-      if (call.isEnded()) {
-        return;
-      }
-      if (end.kind === 'running') {
-        onNotStopped();
-        return;
-      }
-      const isForBackup = backup !== undefined && usableStandby() === backup;
-      goOn(reason, isForBackup && end.kind === 'ended' ? end.copy : undefined);
-    };
-
-    const startRecovery = (lost: StreamSegment, reason: string): void => {
-      recover(lost, reason).catch((error: unknown) => {
-        log.event('stream recovery failed', { request: request.id, reason: String(error) });
-        call.fail(Failure.create('generation-lost', reason));
-      });
+      continuation.recover(lost, reason);
     };
 
     /** Sends a request that was not executed to another engine, or refuses it. */
@@ -262,6 +180,12 @@
       }
     };
 
+    /** Continues a run at another engine after one has not executed the continuation. */
+    const continueElsewhere = (reason: string, otherwise: () => void): void => {
+      continuations -= 1;
+      continuation.tryOtherCopy(reason, otherwise);
+    };
+
     const onOtherResponse = (
       endedSegment: StreamSegment,
       head: ResponseHead,
@@ -279,6 +203,7 @@
       }
       recordOutcome(endedSegment, 0, true);
       if (head.notExecuted) {
+        migration.onRefused(endedSegment.member);
         // The engine has no copy of the run, or freed it.
         standby = undefined;
       }
@@ -288,8 +213,13 @@
         mayHaveRun = true;
         // The response is complete, so the engine is done with the request.
         const reason = `engine responded with status ${String(head.status)}`;
-        if (!endIfHarmful(reason)) {
-          goOn(reason, undefined);
+        const goOn = (): void => {
+          continuation.goOn(reason);
+        };
+        if (head.notExecuted) {
+          continueElsewhere(reason, goOn);
+        } else {
+          goOn();
         }
         return;
       }
@@ -308,8 +238,14 @@
         const { member, sentAtMs } = endedSegment;
         context.guard.onEarlyLoss(call, member.upstream.id, sentAtMs);
       }
-      if (failure.possiblySent || endedSegment.isContinuation) {
-        startRecovery(endedSegment, failure.reason);
+      if (failure.possiblySent) {
+        recover(endedSegment, failure.reason);
+        return;
+      }
+      if (endedSegment.isContinuation) {
+        continueElsewhere(failure.reason, () => {
+          recover(endedSegment, failure.reason);
+        });
         return;
       }
       endedSegment.member.avoidUntilMs = clock.monotonicMs() + avoidAfterFailureMs;
@@ -317,6 +253,27 @@
       tryAnotherEngine();
     };
 
+    const onEnd = (endedSegment: StreamSegment, rest: Buffer, head: ResponseHead): void => {
+      const completeStream = (): void => {
+        complete(endedSegment, rest, head);
+      };
+      const isCut = progress.awaitsEvent();
+      if (!isCut && !head.endsWithConnection) {
+        completeStream();
+        return;
+      }
+      const reason = isCut
+        ? 'the stream ended without the event that another engine had begun'
+        : 'the connection closed while the run was to be stopped';
+      plannedStops.onEnd({
+        segment: endedSegment,
+        ...(isCut ? {} : { complete: completeStream }),
+        fail: () => {
+          onFailure(endedSegment, { possiblySent: true, reason });
+        },
+      });
+    };
+
     const startSegment = (member: FleetMember, copy?: RunCopy): void => {
       if (segment?.endsInsideEvent() === true) {
         progress.recordPartialEvent();
@@ -343,6 +300,7 @@
         },
         {
           onAccepted: (head) => {
+            continuation.onAccepted(copy);
             if (!headSent) {
               headSent = true;
               beginStreamResponse(response, head);
@@ -355,18 +313,20 @@
             context.guard.onSound(call);
           },
           onComplete: (rest, head) => {
-            if (progress.awaitsEvent()) {
-              const reason = 'the stream ended without the event that another engine had begun';
-              onFailure(newSegment, { possiblySent: true, reason });
-            } else {
-              complete(newSegment, rest, head);
-            }
+            onEnd(newSegment, rest, head);
           },
           onOtherResponse: (head, body) => {
             onOtherResponse(newSegment, head, body);
           },
           onFailure: (failure) => {
-            onFailure(newSegment, failure);
+            const fail = (): void => {
+              onFailure(newSegment, failure);
+            };
+            plannedStops.onEnd({
+              segment: newSegment,
+              isClosedEarly: failure.isClosedInOrder === true,
+              fail,
+            });
           },
         },
       );
@@ -397,12 +357,28 @@
       );
     };
 
+    const plannedStops = PlannedStops.create(context, call);
+    const continuation = StreamContinuation.create(context, call, engine, {
+      segment: () => segment,
+      usableStandby,
+      recovery,
+      placeAnew: () => placement.place(triedEngines, 0),
+      continueAt,
+      runAgain: (reason) => {
+        logStep('run again', segment?.member, reason);
+        progress.recordMove();
+        admit();
+      },
+      logStep,
+    });
     const migration = StreamMigration.create(context, call, placement, progress, {
       segment: () => segment,
       standby: () => standby,
-      stop,
-      onNotStopped,
-      continueAt,
+      setStandby: (copied) => {
+        standby = copied;
+      },
+      stop: plannedStops.stop,
+      continueFrom: continuation.continueFrom,
       logStep,
     });
 
@@ -431,7 +407,7 @@
       onSilent: () => {
         if (segment !== undefined) {
           segment.close();
-          startRecovery(segment, 'the engine sent no event for too long');
+          recover(segment, 'the engine sent no event for too long');
         }
       },
     });
--- a/packages/gateway/src/run-end.ts
+++ b/packages/gateway/src/run-end.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@zinniagrade/clock';
 import type { Upstream } from '@zinniagrade/serving';
 import type { Log } from './log.js';
+import { RunListCheck, runListIntervalMs } from './run-list.js';
 import type { CopyOutcome, RunCopy, UpstreamClient } from './upstream-client.js';
 
 /**
@@ -39,9 +40,6 @@
 /** A copy takes its time, but the run stops before it, so the list of runs tells its end earlier. */
 const copyTimeoutMs = 2500;
 const stopRetryMs = 60;
-const listIntervalMs = 150;
-/** Lists are some hundred milliseconds old, so a run that began later than this may not be on them. */
-const maxListAgeMs = 1000;
 
 /** Whether the reply to a stop proves that the engine doesn't work on the run any more. */
 const provesEnd = (stopped: CopyOutcome): boolean => {
@@ -71,8 +69,8 @@
   const askedAtMs = clock.monotonicMs();
 
   return new Promise((resolve) => {
+    const list = RunListCheck.create(clock, requestId, run.begunAtMs);
     let settled = false;
-    let listed = false;
 
     const settle = (end: RunEnd, source: string): void => {
       settled = true;
@@ -125,10 +123,7 @@
         return;
       }
       runs.ifRight((ids) => {
-        const wasListed = listed;
-        const begunForMs = clock.monotonicMs() - (run.begunAtMs ?? Infinity);
-        listed = ids.includes(requestId);
-        if (!listed && (wasListed || begunForMs >= maxListAgeMs)) {
+        if (list.provesEnd(ids)) {
           settle({ kind: 'ended' }, 'list of runs');
         }
       });
@@ -136,7 +131,7 @@
 
     const checkLists = (): void => {
       const waitedMs = clock.monotonicMs() - askedAtMs;
-      if (waitedMs >= maxWaitMs && !listed) {
+      if (waitedMs >= maxWaitMs && !list.isListed()) {
         settle({ kind: 'unknown' }, 'no word in time');
         return;
       }
@@ -149,7 +144,7 @@
       });
     };
 
-    const cancelLists = clock.every(listIntervalMs, checkLists);
+    const cancelLists = clock.every(runListIntervalMs, checkLists);
     askToStop();
   });
 };
--- a/packages/gateway/src/standby.ts
+++ b/packages/gateway/src/standby.ts
@@ -1,10 +1,14 @@
 import type { FleetMember } from '@zinniagrade/serving';
 import type { RunCopy } from './upstream-client.js';
 
-/** A copy of a running request at another engine, from which it can continue. */
-export interface Standby {
+/** A copy of a run, and the engine at which the run can continue from it. */
+export interface HeldCopy {
   readonly holder: FleetMember;
   readonly copy: RunCopy;
+}
+
+/** A copy of a running request at another engine, from which it can continue. */
+export interface Standby extends HeldCopy {
   /** Time from which the copy is certain to have arrived. */
   readonly readyAtMs: number;
 }
--- a/packages/gateway/src/stream-migration.ts
+++ b/packages/gateway/src/stream-migration.ts
@@ -1,21 +1,23 @@
 import type { FleetMember } from '@zinniagrade/serving';
 import type { Call, ServingContext } from './call.js';
-import { canSwitchOver, type Standby } from './standby.js';
+import { ContinuationCopies } from './continuation-copies.js';
+import { copyTimeoutMs, type PlannedStop } from './planned-stop.js';
+import { canSwitchOver, type HeldCopy, type Standby } from './standby.js';
 import type { StreamSegment } from './stream-segment.js';
 import type { StreamPlacement } from './stream-placement.js';
 import type { StreamProgress } from './stream-progress.js';
-import type { RunEnd } from './run-end.js';
 import type { RunCopy } from './upstream-client.js';
 
 /** Access to the stream that is moved. */
 export interface MigratingStream {
   readonly segment: () => StreamSegment | undefined;
   readonly standby: () => Standby | undefined;
-  /** Closes the segment; resolves when its engine no longer works on it, see `awaitRunEnd`. */
-  readonly stop: (segment: StreamSegment, target: FleetMember) => Promise<RunEnd>;
-  /** Ends the stream, as its engine could not be made to stop its run. */
-  readonly onNotStopped: (segment: StreamSegment) => void;
-  readonly continueAt: (holder: FleetMember, copy: RunCopy, reason: string) => void;
+  /** Sets the copy from which the stream goes on if its engine is lost. */
+  readonly setStandby: (standby: Standby) => void;
+  /** Stops the run; its connection stays open until the engine has confirmed that. */
+  readonly stop: (segment: StreamSegment, target: FleetMember) => Promise<PlannedStop>;
+  /** Continues the stopped run from the first of the copies that an engine takes. */
+  readonly continueFrom: (copies: ContinuationCopies, reason: string) => Promise<void>;
   readonly logStep: (outcome: string, member?: FleetMember, detail?: string) => void;
 }
 
@@ -24,10 +26,16 @@
   readonly isCopying: () => boolean;
   /** Resolves when the stream continues elsewhere or the move has to be retried. */
   readonly move: (reason: string) => Promise<void>;
+  /** Excludes an engine that refused to continue the run from the next copies. */
+  readonly onRefused: (member: FleetMember) => void;
+}
+
+/** A copy that was made for a move while the run went on. */
+interface PreparedCopy {
+  readonly source: StreamSegment;
+  readonly held: HeldCopy;
 }
 
-/** Timeout for a copy; engines that leave at short notice are gone by then. */
-const copyTimeoutMs = 2500;
 /** Delay before a move is retried because no engine had room. */
 const moveRetryMs = 60;
 /** Delay before a copy is asked for again that its engine did not make, for whatever reason. */
@@ -47,12 +55,19 @@
     const enginesWithoutRoom = new Set<string>();
     const copyKey = `${request.id}#copy`;
     let copying = false;
+    /** Kept if its run could not be stopped, so that the next attempt copies only what is new. */
+    let prepared: PreparedCopy | undefined;
 
     const pause = (durationMs: number): Promise<void> =>
       new Promise((resolve) => {
         clock.after(durationMs, resolve);
       });
 
+    const releaseMemory = (holder: FleetMember): void => {
+      holder.ownRuns.delete(copyKey);
+      context.onUseChanged();
+    };
+
     /** Copies the run's memory while it continues. Meanwhile the target's memory counts as used. */
     const copyTo = async (
       source: StreamSegment,
@@ -91,27 +106,58 @@
       } else {
         await pause(copyRetryMs);
       }
-      target.ownRuns.delete(copyKey);
-      context.onUseChanged();
+      releaseMemory(target);
       return undefined;
     };
 
-    /** Stops the run at its engine and continues it from the copy that the target has. */
+    const forgetPrepared = (): void => {
+      if (prepared !== undefined) {
+        releaseMemory(prepared.held.holder);
+        prepared = undefined;
+      }
+    };
+
+    const dropPrepared = (): void => {
+      if (prepared !== undefined) {
+        client.dropCopy(prepared.source.member.upstream, prepared.held.copy);
+        forgetPrepared();
+      }
+    };
+    call.onEnded(dropPrepared);
+
+    /**
+     * Stops the run at its engine and continues it from a copy. A run that is not confirmed to have
+     * stopped stays at its engine.
+     */
     const switchOver = async (
       source: StreamSegment,
-      target: FleetMember,
-      copy: RunCopy,
+      target: HeldCopy,
+      backup: HeldCopy | undefined,
       reason: string,
     ): Promise<void> => {
-      const end = await stream.stop(source, target);
-      if (call.isEnded()) {
+      const stop = await stream.stop(source, target.holder);
+      if (stop.kind !== 'stopped') {
+        if (stop.kind !== 'superseded') {
+          stream.logStep('stays', source.member, stop.kind);
+          await pause(copyRetryMs);
+        }
         return;
       }
-      if (end.kind === 'running') {
-        stream.onNotStopped(source);
-        return;
+      if (stop.memory?.isAtTarget === false) {
+        enginesWithoutRoom.add(target.holder.upstream.id);
       }
-      stream.continueAt(target, (end.kind === 'ended' ? end.copy : undefined) ?? copy, reason);
+      const preparedCopy = prepared?.held.copy;
+      forgetPrepared();
+      await stream.continueFrom(
+        ContinuationCopies.create(context, call, {
+          source: source.member,
+          target,
+          stop,
+          backup,
+          prepared: preparedCopy,
+        }),
+        reason,
+      );
     };
 
     const moveByCopy = async (source: StreamSegment): Promise<void> => {
@@ -127,11 +173,16 @@
         await pause(moveRetryMs);
         return;
       }
+      dropPrepared();
       const copy = await copyTo(source, target);
-      if (copy !== undefined) {
-        target.ownRuns.delete(copyKey);
-        await switchOver(source, target, copy, 'copied');
+      if (copy === undefined) {
+        return;
       }
+      const backup = stream.standby();
+      const held: HeldCopy = { holder: target, copy };
+      prepared = { source, held };
+      stream.setStandby({ ...held, readyAtMs: clock.monotonicMs() });
+      await switchOver(source, held, backup, 'copied');
     };
 
     const move = async (reason: string): Promise<void> => {
@@ -140,13 +191,16 @@
         return;
       }
       copying = true;
+      if (prepared !== undefined && prepared.source !== source) {
+        forgetPrepared();
+      }
       try {
         const standby = stream.standby();
         if (
           standby !== undefined &&
           canSwitchOver(standby, context.cluster.withdrawn, clock.monotonicMs())
         ) {
-          await switchOver(source, standby.holder, standby.copy, reason);
+          await switchOver(source, standby, standby, reason);
         } else {
           await moveByCopy(source);
         }
@@ -155,6 +209,12 @@
       }
     };
 
-    return { isCopying: () => copying, move };
+    return {
+      isCopying: () => copying,
+      move,
+      onRefused: ({ upstream }) => {
+        enginesWithoutRoom.add(upstream.id);
+      },
+    };
   },
 };
