Follow the time-out of a request's own route

When a route of 600 ms was removed and a wider one of 5,000 ms matched, a stream ran for 2 s, longer than its route ever allowed; a raised route that moved to another prefix cut its streams at the earlier time. The lookup is by the name of the route now.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -78,15 +78,15 @@
   create: (context: ServingContext, options: CallerServerOptions): CallerServer => {
     const { clock, log, metrics, cluster } = context;
     const bodies = RequestBodies.create(clock, context.limits.maxRequestBodyBytes, context.memory);
-    /** Deadlines of open calls, with the request that names the route in each version. */
-    const openDeadlines = new Map<RequestDeadline, CallerRequest>();
+    /** Deadlines of open calls, with the names of their routes. */
+    const openDeadlines = new Map<RequestDeadline, string>();
     let activeRequests = 0;
     options.onReadingEnds(() => {
       bodies.stopReading(createLeavingFailure());
     });
 
-    const allowTimeoutInForce = (deadline: RequestDeadline, { host, url }: CallerRequest): void => {
-      const route = cluster.routes()?.find(host, url);
+    const allowTimeoutInForce = (deadline: RequestDeadline, routeName: string): void => {
+      const route = cluster.routes()?.byName.get(routeName);
       if (route !== undefined) {
         deadline.allow(route.timeoutMs);
       }
@@ -108,8 +108,8 @@
         timeoutMs: route.timeoutMs,
       });
       // A version may have come while the body was being read.
-      allowTimeoutInForce(deadline, request);
-      openDeadlines.set(deadline, request);
+      allowTimeoutInForce(deadline, route.name);
+      openDeadlines.set(deadline, route.name);
       const end = (outcome: string, detail?: string, retryAfterMs?: number): void => {
         ended = true;
         deadline.stop();
@@ -338,8 +338,8 @@
       configure: ({ limits }) => {
         server.keepAliveTimeout = limits.idleTimeoutMs;
         server.headersTimeout = limits.headerTimeoutMs;
-        for (const [deadline, request] of openDeadlines) {
-          allowTimeoutInForce(deadline, request);
+        for (const [deadline, routeName] of openDeadlines) {
+          allowTimeoutInForce(deadline, routeName);
         }
       },
       activeRequests: () => activeRequests,
--- a/packages/serving/src/route-table.ts
+++ b/packages/serving/src/route-table.ts
@@ -5,6 +5,7 @@
   readonly version: number;
   /** The route of the host with the longest path prefix that matches. */
   readonly find: (host: string, path: string) => Route | undefined;
+  readonly byName: ReadonlyMap<string, Route>;
   /** The client account of an API key. */
   readonly accountOf: (key: string) => ClientAccount | undefined;
   readonly needsKey: boolean;
@@ -54,6 +55,7 @@
         }
         return undefined;
       },
+      byName: new Map(configuration.routes.map((route) => [route.name, route])),
       accountOf: (key) => byKey.get(key),
       needsKey: configuration.clientAccounts.length > 0,
     };
