Stop no run whose target was withdrawn meanwhile

Found by the review of moves: where the data centre of the target was withdrawn while the first copy was made, the run was stopped, the target was left out as it may get nothing, and the stream ended (30 of 80 events) though its source kept the memory. The target is checked again before the stop, and a stop whose target is withdrawn afterwards waits for the reply and goes on at the source.

--- a/packages/gateway/src/continuation-copies.ts
+++ b/packages/gateway/src/continuation-copies.ts
@@ -35,6 +35,8 @@
     const { client, clock, cluster } = context;
     const { source, target, stop, backup, prepared } = moved;
     const tried: HeldCopy[] = [];
+    const mayContinueAt = ({ holder }: HeldCopy): boolean =>
+      !cluster.withdrawn.has(holder.upstream.dataCentre);
     let released = false;
 
     /**
@@ -43,7 +45,7 @@
      */
     const candidates = async (): Promise<readonly HeldCopy[]> => {
       const isFirst = tried.length === 0;
-      if (isFirst && stop.memory === undefined) {
+      if (isFirst && stop.memory === undefined && mayContinueAt(target)) {
         return [target];
       }
       const memory = stop.memory ?? (await stop.reply);
@@ -68,8 +70,7 @@
       next: async () => {
         const left = (await candidates()).filter(
           (candidate) =>
-            !tried.some((earlier) => isSame(earlier, candidate)) &&
-            !cluster.withdrawn.has(candidate.holder.upstream.dataCentre),
+            !tried.some((earlier) => isSame(earlier, candidate)) && mayContinueAt(candidate),
         );
         const nowMs = clock.monotonicMs();
         const waitMs = ({ holder }: HeldCopy): number => Math.max(0, holder.waitUntilMs - nowMs);
--- a/packages/gateway/src/stream-migration.ts
+++ b/packages/gateway/src/stream-migration.ts
@@ -135,6 +135,11 @@
       backup: HeldCopy | undefined,
       reason: string,
     ): Promise<void> => {
+      if (context.cluster.withdrawn.has(target.holder.upstream.dataCentre)) {
+        // Withdrawn while the copy was made.
+        await pause(moveRetryMs);
+        return;
+      }
       const stop = await stream.stop(source, target.holder);
       if (stop.kind !== 'stopped') {
         if (stop.kind !== 'superseded') {
