Confirm the end of a run whose response was closed early

Found by the review of moves: an early close of the response while a stop is out was taken for the stop for good.

The stream still goes on at once, as a pause for the whole copy makes it late; but if the reply does not confirm the end, the engine is told to stop the run until it does, and its list of runs is read.

--- a/packages/gateway/src/planned-stop.test.ts
+++ b/packages/gateway/src/planned-stop.test.ts
@@ -40,6 +40,9 @@
   readonly told: readonly string[];
   readonly dropped: readonly string[];
   readonly isClosed: boolean;
+  readonly tookMs: number;
+  /** Calls that told the engine to stop the run, once it has replied to the first. */
+  readonly askedAfterReply: () => Promise<number>;
 }
 
 const replyAfterMs = 1000;
@@ -50,20 +53,23 @@
   reply: CopyOutcome,
   responseEnd: ResponseEnd,
   endedAgain = false,
-): Promise<StopResult & { readonly tookMs: number }> => {
+): Promise<StopResult> => {
   const clock = VirtualClock.create();
   clock.advance(10_000);
   const startMs = clock.monotonicMs();
   const told: string[] = [];
   const dropped: string[] = [];
   let closed = false;
+  let asked = 0;
   const client: Partial<UpstreamClient> = {
-    copyRun: () =>
-      new Promise((resolve) => {
+    copyRun: () => {
+      asked += 1;
+      return new Promise((resolve) => {
         clock.after(replyAfterMs, () => {
           resolve(reply);
         });
-      }),
+      });
+    },
     listRuns: () => Promise.resolve(Right([])),
     dropCopy: (_source, { reference }) => {
       dropped.push(reference);
@@ -112,7 +118,12 @@
     endResponse('in order');
   }
   await new Promise((resolve) => setImmediate(resolve));
-  return { stop, told, dropped, isClosed: closed, tookMs };
+  const askedAfterReply = async (): Promise<number> => {
+    clock.advance(replyAfterMs);
+    await new Promise((resolve) => setImmediate(resolve));
+    return asked;
+  };
+  return { stop, told, dropped, isClosed: closed, tookMs, askedAfterReply };
 };
 
 describe('planned stop of a run', () => {
@@ -150,6 +161,14 @@
     });
   }
 
+  it('is asked again if the reply does not confirm what the close of the response showed', async () => {
+    // Guards against a run that a faulty engine goes on with, beside the engine that continues it.
+    const unconfirmed = await stopRun({ outcome: 'busy' }, 'closed early');
+    expect(await unconfirmed.askedAfterReply()).to.equal(2);
+    const confirmed = await stopRun(copied, 'closed early');
+    expect(await confirmed.askedAfterReply()).to.equal(1);
+  });
+
   it('is not known from a reset alone', async () => {
     // Guards against a run that goes on at its engine although its connection was reset.
     const { tookMs } = await stopRun(copied, 'reset');
@@ -178,6 +197,9 @@
 
   it('takes no end for complete if the run may have been stopped', async () => {
     // Guards against a truncated stream that is passed on as complete.
+    for (const reply of [{ outcome: 'busy' }, { outcome: 'no-room' }] as const) {
+      expect((await stopRun(reply, 'in order')).told).to.deep.equal(['failed']);
+    }
     expect((await stopRun(noReply, 'in order')).told).to.deep.equal(['failed']);
     expect((await stopRun(noReply, 'open', true)).told).to.deep.equal(['failed']);
   });
--- a/packages/gateway/src/planned-stop.ts
+++ b/packages/gateway/src/planned-stop.ts
@@ -1,5 +1,6 @@
 import type { FleetMember } from '@zinniagrade/serving';
 import type { Call, ServingContext } from './call.js';
+import { awaitRunEnd, provesEnd } from './run-end.js';
 import { RunListCheck, runListIntervalMs } from './run-list.js';
 import type { StreamSegment } from './stream-segment.js';
 import type { CopyOutcome, RunCopy } from './upstream-client.js';
@@ -81,7 +82,7 @@
 
     /**
      * Resolves when the end of the segment's response shows that the run was stopped. An engine that
-     * closes it early in order has done as it was told. One that was reset may go on with the run,
+     * closes it early in order has most probably done as it was told, see `confirmEnd`. One that was reset may go on with the run,
      * until its list doesn't name it any more. A response without a stated end may be complete, which
      * the reply to the stop tells.
      */
@@ -119,6 +120,33 @@
       }
     };
 
+    /**
+     * Ends a run whose response was closed, but which the reply to the stop doesn't confirm to have
+     * ended: a faulty engine may close a response and go on with the run.
+     */
+    const confirmEnd = (
+      segment: StreamSegment,
+      target: FleetMember,
+      reply: CopyOutcome | undefined,
+    ): void => {
+      if (reply !== undefined && provesEnd(reply)) {
+        return;
+      }
+      awaitRunEnd(context, {
+        upstream: segment.member.upstream,
+        requestId,
+        begunAtMs: segment.firstEventAtMs(),
+        target: target.upstream,
+        movable: true,
+        maxWaitMs: copyTimeoutMs,
+      }).catch((error: unknown) => {
+        log.event('failed to confirm the end of a run', {
+          request: requestId,
+          reason: String(error),
+        });
+      });
+    };
+
     const stop = async (segment: StreamSegment, target: FleetMember): Promise<PlannedStop> => {
       const { upstream } = segment.member;
       const askedAtMs = clock.monotonicMs();
@@ -155,12 +183,19 @@
         });
         return { kind: 'superseded' };
       }
+      if (replied === 'ended') {
+        void outcome.then((late) => {
+          confirmEnd(segment, target, late);
+        });
+      }
       if (replied === 'ended' || memory !== undefined) {
         segment.close();
         return { kind: 'stopped', memory, reply };
       }
       const isUnanswered = replied === undefined || replied.outcome === 'unreachable';
-      if (isUnanswered) {
+      // A reply that can't be read, or a call that went before, may have stopped the run as well.
+      const isEndDoubtful = end !== undefined && replied?.outcome !== 'no-such-run';
+      if (isUnanswered || isEndDoubtful) {
         doubtful = segment;
       }
       if (end !== undefined) {
--- a/packages/gateway/src/run-end.ts
+++ b/packages/gateway/src/run-end.ts
@@ -42,7 +42,7 @@
 const stopRetryMs = 60;
 
 /** Whether the reply to a stop proves that the engine doesn't work on the run any more. */
-const provesEnd = (stopped: CopyOutcome): boolean => {
+export const provesEnd = (stopped: CopyOutcome): boolean => {
   switch (stopped.outcome) {
     case 'copied':
     case 'no-such-run':
