Collect in full only where peers' bytes can be freed

Cause: the memory gate reads resident memory, of which the program alone fills such a limit. It was always full there, and ran a full collection whenever resident memory had grown by 2% of the limit since the last one, each second at most. Such a collection can free only buffers of peers; V8 collects its heap by itself. Now one also needs a floor (4% of the limit, the share that holders may always hold) of bytes that are held, or were received or freed since the last one. Received bytes count, as those of refused bodies are held by nobody.

Evidence: three new unit tests of the gate failed before, the one of much held data holds before and after. The test "does not collect again and again" now holds 20 MB, as its collections need something to free; what it expects is unchanged.

Not shown: memory that grows without bytes of peers, as by links or replies of the store, is collected by V8 alone while little is held.

--- a/packages/gateway/src/memory-gate.test.ts
+++ b/packages/gateway/src/memory-gate.test.ts
@@ -79,6 +79,7 @@
     let resident = 190 * megabyte;
     const collected: string[] = [];
     const { clock, gate } = createGate(() => resident, collected);
+    gate.addHolder(createHolder(20 * megabyte));
     clock.advance(10_000);
     expect(collected).to.deep.equal(['major']);
     resident = 195 * megabyte;
@@ -89,6 +90,66 @@
     expect(collected).to.have.length(3);
   });
 
+  it('does not collect while little is held and little was received, however full the memory is', () => {
+    // Guards against a pause each second of a process whose memory is taken by the program itself.
+    let resident = 165 * megabyte;
+    const collected: string[] = [];
+    const { clock, gate } = createGate(() => resident, collected);
+    gate.addHolder(createHolder(megabyte));
+    for (let second = 0; second < 60; second += 1) {
+      resident += megabyte / 2;
+      gate.recordReceived(64 * 1024);
+      clock.advance(1000);
+    }
+    expect(collected).to.deep.equal([]);
+  });
+
+  it('collects while much is held', () => {
+    // Guards against buffers that holders have replaced and that stay in memory.
+    let resident = 170 * megabyte;
+    const collected: string[] = [];
+    const { clock, gate } = createGate(() => resident, collected);
+    gate.addHolder(createHolder(9 * megabyte));
+    clock.advance(50);
+    expect(collected).to.deep.equal(['major']);
+    resident += 5 * megabyte;
+    clock.advance(1000);
+    expect(collected).to.deep.equal(['major', 'major']);
+  });
+
+  it('collects what was received and dropped, though nothing is held', () => {
+    // Guards against a process that is killed for refused bodies whose buffers are not collected.
+    let resident = 170 * megabyte;
+    const collected: string[] = [];
+    const { clock, gate } = createGate(() => resident, collected);
+    const receive = (): void => {
+      for (let received = 0; received < 9; received += 1) {
+        gate.recordReceived(megabyte);
+      }
+    };
+    const majors = (): number => collected.filter((kind) => kind === 'major').length;
+    receive();
+    clock.advance(50);
+    expect(majors()).to.equal(1);
+    resident += 5 * megabyte;
+    clock.advance(10_000);
+    expect(majors()).to.equal(1);
+    receive();
+    clock.advance(50);
+    expect(majors()).to.equal(2);
+  });
+
+  it('collects what was freed, though nothing is held any more', () => {
+    // Guards against answers that were given up and stay in memory until V8 collects by itself.
+    const collected: string[] = [];
+    const { clock, gate } = createGate(() => 170 * megabyte, collected);
+    clock.advance(50);
+    expect(collected).to.deep.equal([]);
+    gate.recordFreed(9 * megabyte);
+    clock.advance(50);
+    expect(collected).to.deep.equal(['major']);
+  });
+
   it('reads the memory and frees dropped buffers while much is received', () => {
     // Guards against buffers that add up between two runs of the timer.
     let reads = 0;
--- a/packages/gateway/src/memory-gate.ts
+++ b/packages/gateway/src/memory-gate.ts
@@ -68,6 +68,7 @@
     let residentBytes = readResidentBytes();
     let receivedSinceRead = 0;
     let receivedSinceCollect = 0;
+    let receivedSinceMajor = 0;
     let freedSinceMajor = 0;
     let majorAtMs = -Infinity;
     let residentAfterMajor = -Infinity;
@@ -88,11 +89,19 @@
       receivedSinceRead = 0;
     };
 
+    /**
+     * Whether buffers of peers can be a part of the memory in use that is worth a pause. The program
+     * itself can fill a small limit, and V8 collects its heap by itself.
+     */
+    const mayFreeBuffers = (): boolean =>
+      receivedSinceMajor + freedSinceMajor >= floorBytes || heldTotal() >= floorBytes;
+
     /** A collection that freed nothing is not repeated until there is more to free. */
     const isCollectionDue = (nowMs: number): boolean =>
       freedSinceMajor >= collectAfterFreedBytes ||
       (nowMs - majorAtMs >= minMajorIntervalMs &&
-        residentBytes >= residentAfterMajor + limitBytes * minGrowthShare);
+        residentBytes >= residentAfterMajor + limitBytes * minGrowthShare &&
+        mayFreeBuffers());
 
     /** Frees buffers that are no longer used, as V8 counts neither them nor the limit. */
     const collectIfFull = (): void => {
@@ -100,6 +109,7 @@
       if (residentBytes < fullBytes() || !isCollectionDue(nowMs)) {
         return;
       }
+      receivedSinceMajor = 0;
       freedSinceMajor = 0;
       majorAtMs = nowMs;
       collect('major');
@@ -137,6 +147,7 @@
       recordReceived: (bytes) => {
         receivedSinceRead += bytes;
         receivedSinceCollect += bytes;
+        receivedSinceMajor += bytes;
         if (receivedSinceCollect >= collectAfterBytes) {
           receivedSinceCollect = 0;
           collect('minor');
