Answer what arrives on open connections of a node that shuts down

What callers saw: a request that was sent on an open connection to a node in its grace period was cut without an answer, though there was time to serve it. The shutdown test of the store that does not answer failed at times.

Cause, two faults of the product: - The node stopped as soon as its registration had ended and no request was open for a moment. A connection on which the first request had yet to arrive was closed then. It now counts as open until the time of the shutdown ends. - Closing the server in the middle of the grace period ends idle connections. Timers come before sockets in the event loop, so after a pause of the process it closed connections whose next request had been received and not read. The node now reads first. Answers that refuse a request say Connection: close too while the node leaves.

Left: a connection that carried a request before is closed in the middle of the grace period, or when the node stops if its answer began before the shutdown; a request on its way at this moment is cut.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -178,6 +178,13 @@
       };
     };
 
+    /** Tells a caller of a node that shuts down to send its next request elsewhere. */
+    const closeIfLeaving = (response: ServerResponse): void => {
+      if (context.isLeaving()) {
+        response.shouldKeepAlive = false;
+      }
+    };
+
     const refuse = (
       response: ServerResponse,
       request: CallerRequest | undefined,
@@ -192,6 +199,7 @@
         retryAfterMs: failure.retryAfterMs,
       });
       metrics.countDecision(`refused-${failure.kind}`);
+      closeIfLeaving(response);
       send(response, failure);
     };
 
@@ -286,9 +294,7 @@
         );
         return;
       }
-      if (context.isLeaving()) {
-        response.shouldKeepAlive = false;
-      }
+      closeIfLeaving(response);
       const call = createCall({
         request,
         body,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from 'node:crypto';
 import type { Server } from 'node:http';
+import { setImmediate as waitForReads } from 'node:timers/promises';
 import { Random, type Clock } from '@zinniagrade/clock';
 import { isBelowColdLimit, quarantineMs, type FleetMember } from '@zinniagrade/serving';
 import type { ServingContext } from './call.js';
@@ -34,6 +35,7 @@
 import { EngineDrainer } from './engine-drainer.js';
 import { Shutdown } from './shutdown.js';
 import { closeUnusedConnections, limitConnections } from './upstream-connections.js';
+import { countUnusedConnections } from './unused-connections.js';
 import { UnreadResponses } from './unread-responses.js';
 import { UpstreamStatements } from './upstream-statements.js';
 import { ClusterState, type NodeEntry } from './cluster-state.js';
@@ -253,6 +255,8 @@
       },
     });
 
+    const unusedConnections = countUnusedConnections(callerServer.server);
+
     cluster.fleet.onLeave(({ upstream }) => {
       const remaining = cluster.fleet
         .ofService(upstream.service)
@@ -403,12 +407,18 @@
             clock.after(settings.graceMs / 2, resolve);
           });
         }
+        // Closing ends idle connections: a request that was received while the process was busy is
+        // read first.
+        await waitForReads();
         // No connection is accepted from here on; requests on open ones are still served.
         callerServer.server.close();
         let isRegistered = registration !== undefined;
         void registration?.end().finally(() => (isRegistered = false));
-        // Requests that arrive while the store has not answered are served too.
-        await shutdown.whenIdle(() => !isRegistered && callerServer.activeRequests() === 0);
+        // Requests that arrive while the store has not answered are served too, and so are those
+        // that callers have yet to send on connections that they have just opened.
+        await shutdown.whenIdle(
+          () => !isRegistered && callerServer.activeRequests() === 0 && unusedConnections() === 0,
+        );
         log.event('stopped', { open: callerServer.activeRequests() });
         stopTicks();
         memoryWatch.stop();
