Notice at a node that it reaches no upstream, and leave the directory

Cause: failures were kept for each upstream and for 500 ms, and nothing said that a node is cut off from all of a service.

A node now takes a service for out of reach when new connections to four of its upstreams, or to all of fewer, have failed without a contact. They are opened only while its own exchanges raise a doubt. Nodes tell each other in their states, which earlier versions read without the new field. Directories leave out nodes that are cut off from all services.

Evidence: the directory test failed before (2 addresses instead of 1) and passes. Changed rules that count any failed connection, or any silence, fail the tests of crashed and slow upstreams.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -12,6 +12,7 @@
 import type { RequestGuard } from './request-guard.js';
 import type { RouteDurations } from './route-durations.js';
 import type { Rollouts } from './rollouts.js';
+import type { ServiceReach } from './service-reach.js';
 import type { ServiceRecord } from './service-records.js';
 import type { UnreadResponses } from './unread-responses.js';
 import type { UpstreamClient } from './upstream-client.js';
@@ -58,6 +59,8 @@
    */
   readonly turnDelayMs: () => number;
   readonly durations: RouteDurations;
+  /** Which services this node and others reach. */
+  readonly reach: ServiceReach;
   /** Whether this node is shutting down. */
   readonly isLeaving: () => boolean;
   /** Whether a call that has not been sent can still be finished; false only if the node leaves. */
--- a/packages/gateway/src/directory.test.ts
+++ b/packages/gateway/src/directory.test.ts
@@ -11,6 +11,7 @@
     { node: 'n3', dataCentre: 'b', callerAddress: '10.0.0.3:80', leaving: true, capacity: 1 },
   ],
   connected: new Set(['n2', 'n3']),
+  cutOff: new Set(),
   linksSettled: true,
   ...part,
 });
@@ -32,4 +33,23 @@
   it('lists its own address only while it is ready', () => {
     expect(chooseAddresses(createState({ ready: false }))).to.deep.equal(['10.0.0.2:80']);
   });
+
+  it('omits nodes that reach no upstream, its own included, as long as another is left', () => {
+    // Guards against callers that go on to connect to nodes that reach nothing.
+    expect(chooseAddresses(createState({ cutOff: new Set(['n1']) }))).to.deep.equal([
+      '10.0.0.2:80',
+    ]);
+    expect(chooseAddresses(createState({ cutOff: new Set(['n2']) }))).to.deep.equal([
+      '10.0.0.1:80',
+    ]);
+  });
+
+  it('lists all nodes when none of those left reaches an upstream', () => {
+    // Guards against an empty directory while all upstreams are away.
+    const cutOff = new Set(['n1', 'n2']);
+    expect(chooseAddresses(createState({ cutOff }))).to.deep.equal(['10.0.0.1:80', '10.0.0.2:80']);
+    // The only node that isn't cut off is leaving, or sends no messages.
+    const alone = createState({ cutOff: new Set(['n1']), connected: new Set() });
+    expect(chooseAddresses(alone)).to.deep.equal(['10.0.0.1:80']);
+  });
 });
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -10,6 +10,8 @@
   readonly nodes: Iterable<NodeEntry>;
   /** Nodes that this node receives messages from, directly or via relays. */
   readonly connected: ReadonlySet<string>;
+  /** Nodes that reach no upstream of any service, this one included. */
+  readonly cutOff: ReadonlySet<string>;
   /**
    * Whether node links have had time to open since the start; until then registrations alone
    * decide.
@@ -19,20 +21,28 @@
 
 /**
  * Returns the addresses that callers may use. Leaves out registered nodes that send no messages: the
- * registration of a dead node stays while the store is unavailable.
+ * registration of a dead node stays while the store is unavailable. Leaves out nodes that reach no
+ * upstream, as long as another one is left.
  */
 export const chooseAddresses = (state: DirectoryInput): readonly string[] => {
   const addresses = new Set<string>();
+  const reachingAddresses = new Set<string>();
+  const add = (node: string, address: string): void => {
+    addresses.add(address);
+    if (!state.cutOff.has(node)) {
+      reachingAddresses.add(address);
+    }
+  };
   if (state.ready) {
-    addresses.add(state.ownAddress);
+    add(state.node, state.ownAddress);
   }
   for (const entry of state.nodes) {
     const alive = state.connected.has(entry.node) || !state.linksSettled;
     if (entry.node !== state.node && !entry.leaving && alive) {
-      addresses.add(entry.callerAddress);
+      add(entry.node, entry.callerAddress);
     }
   }
-  return [...addresses];
+  return [...(reachingAddresses.size > 0 ? reachingAddresses : addresses)];
 };
 
 /** HTTP server that returns the addresses to which callers can connect. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,6 +28,7 @@
 import { Rollouts } from './rollouts.js';
 import { RouteDurations } from './route-durations.js';
 import { serveCall } from './serve-call.js';
+import { ServiceReach, type WatchedReach } from './service-reach.js';
 import { ServiceRecords } from './service-records.js';
 import type { GatewaySettings } from './settings.js';
 import { StatedLimits } from './stated-limits.js';
@@ -86,6 +87,7 @@
       },
       address: settings.listen.nodes,
       mirror: () => mirror,
+      cutOffServices: () => reach.cutOffServices(),
       onLoad: (upstream, load, readAtMs) => {
         loadPolling.receiveLoad(upstream, load, readAtMs);
       },
@@ -102,6 +104,12 @@
       limits: () => statedLimits.findings(),
     });
 
+    const reach: WatchedReach = ServiceReach.create(clock, random, log, cluster, {
+      node: settings.node,
+      client: platform.upstreams,
+      peers,
+    });
+
     const statedLimits: StatedLimits = StatedLimits.create(clock, log, cluster.fleet, {
       node: settings.node,
       nodeCount: () => Math.max(1, cluster.nodes.size),
@@ -196,7 +204,7 @@
       log,
       metrics,
       cluster,
-      client: platform.upstreams,
+      client: reach.client,
       limits,
       memory,
       unread,
@@ -219,6 +227,7 @@
       onUseChanged: peers.onUseChanged,
       turnDelayMs: peers.turnDelayMs,
       durations,
+      reach,
       isLeaving: shutdown.hasBegun,
       canFinish: (call) =>
         shutdown.canFinish({
@@ -344,6 +353,7 @@
         ready: isReady(),
         nodes: cluster.nodes.values(),
         connected: peers.aliveNodes(),
+        cutOff: reach.cutOffNodes(),
         linksSettled:
           mirrorCompleteAtMs !== undefined &&
           clock.monotonicMs() - mirrorCompleteAtMs > linksSettleMs,
@@ -426,6 +436,7 @@
         unread.stop();
         loadPolling.stop();
         rollouts.stop();
+        reach.stop();
         peers.close();
         mirror.stop();
         for (const server of servers) {
--- a/packages/gateway/src/node-message.test.ts
+++ b/packages/gateway/src/node-message.test.ts
@@ -12,7 +12,11 @@
       sequence: 7,
       store: 'fed',
       uses: [{ upstream: 'e', requests: 1, promptTokens: 2, memoryTokens: 3.5, copyTokens: 0 }],
+      cutOff: ['app'],
     },
+    { node: 'n2', incarnation: 5, sequence: 7, store: 'fed', uses: [], cutOff: [] },
+    // Forwarded for a node of an earlier version.
+    { node: 'n3', incarnation: 5, sequence: 7, store: 'fed', uses: [] },
   ],
   loads: [
     {
@@ -47,6 +51,22 @@
     expect(decodeNodeMessage(overWire(encodeNodeMessage(state)))).to.deep.equal(state);
   });
 
+  it('tells a node of an earlier version from one that reaches all services', () => {
+    // Guards against requests that are passed on to nodes that can't serve them for others.
+    const wire = encodeNodeMessage(state) as Record<string, unknown>;
+    const rowOfEarlierVersion = ['n1', 5, 7, 1, [['e', 1, 2, 3.5, 0]]];
+    const read = decodeNodeMessage(overWire({ ...wire, nodes: [rowOfEarlierVersion] }));
+    const nodes = read?.kind === 'state' ? read.nodes : [];
+    expect(nodes).to.have.length(1);
+    expect(nodes[0]).to.not.have.property('cutOff');
+  });
+
+  it('has the fields of a state that an earlier version reads where that version reads them', () => {
+    // Guards against nodes of two versions that don't understand each other during a restart.
+    const { nodes } = overWire(encodeNodeMessage(state)) as { nodes: readonly unknown[][] };
+    expect(nodes[0]?.slice(0, 5)).to.deep.equal(['n1', 5, 7, 1, [['e', 1, 2, 3.5, 0]]]);
+  });
+
   it('is ignored if any part of it is malformed', () => {
     // Guards against a message that ends the process of the node that reads it.
     const wire = encodeNodeMessage(state) as Record<string, unknown>;
@@ -68,6 +88,8 @@
       { seed: 19, numRuns: 500 },
     );
     expect(decodeNodeMessage({ ...wire, nodes: [['n1', 1, 1, 9, []]] })).to.equal(undefined);
+    expect(decodeNodeMessage({ ...wire, nodes: [['n1', 1, 1, 1, [], 'app']] })).to.equal(undefined);
+    expect(decodeNodeMessage({ ...wire, nodes: [['n1', 1, 1, 1, [], [7]]] })).to.equal(undefined);
     expect(decodeNodeMessage({ ...wire, revision: '1' })).to.equal(undefined);
     expect(decodeNodeMessage(null)).to.equal(undefined);
     expect(decodeNodeMessage({ kind: 'other' })).to.equal(undefined);
--- a/packages/gateway/src/node-message.ts
+++ b/packages/gateway/src/node-message.ts
@@ -35,6 +35,11 @@
   readonly sequence: number;
   readonly store: StoreAccess;
   readonly uses: readonly UpstreamUse[];
+  /**
+   * Services of which the node reaches no upstream. Undefined for a node of an earlier version, which
+   * doesn't tell, and for all that a relay of such a version forwards.
+   */
+  readonly cutOff?: readonly string[];
 }
 
 /** An engine's load, read `ageMs` ago. */
@@ -170,7 +175,7 @@
 };
 
 const toState = (value: unknown): NodeState => {
-  const [node, incarnation, sequence, access, uses] = toRow(value);
+  const [node, incarnation, sequence, access, uses, cutOff] = toRow(value);
   const store = storeAccesses[toNumber(access)];
   if (store === undefined) {
     throw new MalformedMessage('unknown store access');
@@ -181,6 +186,7 @@
     sequence: toNumber(sequence),
     store,
     uses: toRow(uses).map(toUse),
+    ...(cutOff === undefined ? {} : { cutOff: toRow(cutOff).map(toText) }),
   };
 };
 
@@ -275,7 +281,7 @@
   message.kind === 'state'
     ? {
         ...message,
-        nodes: message.nodes.map(({ node, incarnation, sequence, store, uses }) => [
+        nodes: message.nodes.map(({ node, incarnation, sequence, store, uses, cutOff }) => [
           node,
           incarnation,
           sequence,
@@ -287,6 +293,7 @@
             use.memoryTokens,
             use.copyTokens,
           ]),
+          ...(cutOff === undefined ? [] : [cutOff]),
         ]),
         loads: message.loads.map(({ node, upstream, ageMs, load }) => [
           node,
--- a/packages/gateway/src/node-peers.ts
+++ b/packages/gateway/src/node-peers.ts
@@ -26,6 +26,8 @@
   /** Address for other nodes, as IP:PORT. */
   readonly address: string;
   readonly mirror: () => StoreMirror;
+  /** Services of which this node reaches no upstream. */
+  readonly cutOffServices: () => readonly string[];
   /** Called with a load that another node has read, and the time of reading. */
   readonly onLoad: (upstream: string, load: EngineLoad, readAtMs: number) => void;
   readonly onReport: (node: string, service: string, report: RolloutReport) => void;
@@ -45,6 +47,10 @@
   /** Opens links to other nodes, authenticated by the secret. */
   readonly open: (secret: string) => void;
   readonly onUseChanged: () => void;
+  /** To be called when this node is cut off from other services than before. */
+  readonly onReachChanged: () => void;
+  /** Services that another node is cut off from; undefined if it doesn't tell. */
+  readonly cutOffServicesOf: (node: string) => readonly string[] | undefined;
   readonly peerUse: (upstream: string) => UpstreamUse;
   /** Time until all nodes know of a change at one of them, without the delay of links. */
   readonly announcementDelayMs: () => number;
@@ -161,6 +167,7 @@
       linkedNodes,
       send,
       ownUses,
+      cutOffServices: options.cutOffServices,
       storeAccess: () => options.mirror().storeAccess(),
       revision: () => options.mirror().revision(),
       digest: () => options.mirror().digest(),
@@ -283,6 +290,11 @@
       });
     };
 
+    const onOwnStateChanged = (): void => {
+      broadcast.markStateChanged();
+      scheduleFlush();
+    };
+
     return {
       open: (secret) => {
         if (!opening) {
@@ -290,10 +302,9 @@
           openUntilDone(secret);
         }
       },
-      onUseChanged: () => {
-        broadcast.markUsesChanged();
-        scheduleFlush();
-      },
+      onUseChanged: onOwnStateChanged,
+      onReachChanged: onOwnStateChanged,
+      cutOffServicesOf: (node) => broadcast.states().get(node)?.cutOff,
       peerUse: peerUse.totalFor,
       announcementDelayMs: () =>
         topology().isMesh ? batchDelayMs : batchDelayMs + relaysOnPath * relayBatchDelayMs(),
--- a/packages/gateway/src/peer-broadcast.test.ts
+++ b/packages/gateway/src/peer-broadcast.test.ts
@@ -10,6 +10,8 @@
   /** Memory tokens that `from` uses at the engine `e`, as known to `node`. */
   readonly memoryTokensKnownTo: (node: string, from: string) => number | undefined;
   readonly setMemoryTokens: (node: string, memoryTokens: number) => void;
+  /** Sets the services of which the node reaches no upstream. */
+  readonly setCutOff: (node: string, services: readonly string[]) => void;
   /** Flushes all nodes until updates have been forwarded by two relays. */
   readonly flushAll: () => void;
   readonly sendHeartbeats: () => void;
@@ -32,6 +34,7 @@
   const exchanges = new Map<string, PeerBroadcast>();
   const memoryTokensByPair = new Map<string, number>();
   const uses = new Map<string, number>();
+  const cutOff = new Map<string, readonly string[]>();
   const sent = new Map<string, number>();
   const dead = new Set<string>();
   let statesSent = 0;
@@ -83,6 +86,7 @@
             copyTokens: 0,
           },
         ],
+        cutOffServices: () => cutOff.get(node) ?? [],
         storeAccess: () => 'fed',
         revision: () => 1,
         digest: () => 0,
@@ -116,7 +120,11 @@
     memoryTokensKnownTo: (node, from) => memoryTokensByPair.get(`${node} ${from}`),
     setMemoryTokens: (node, memoryTokens) => {
       uses.set(node, memoryTokens);
-      exchangeOf(node).markUsesChanged();
+      exchangeOf(node).markStateChanged();
+    },
+    setCutOff: (node, services) => {
+      cutOff.set(node, services);
+      exchangeOf(node).markStateChanged();
     },
     flushAll,
     sendHeartbeats: () => {
@@ -155,6 +163,21 @@
       }
     });
 
+    it('tells all nodes which services each of the others reaches', () => {
+      // Guards against nodes behind relays that don't know who could serve for them.
+      const network = createNetwork(count, dataCentres);
+      network.sendHeartbeats();
+      network.setCutOff('n05', ['app']);
+      network.flushAll();
+      for (const node of network.names) {
+        const states = network.exchangeOf(node).states();
+        for (const other of network.names) {
+          const expected = other === 'n05' ? ['app'] : [];
+          expect(states.get(other)?.cutOff, `${other} at ${node}`).to.deep.equal(expected);
+        }
+      }
+    });
+
     it('counts all nodes as alive, also those without a direct connection', () => {
       // Guards against a directory that lists only directly connected nodes.
       const network = createNetwork(count, dataCentres);
--- a/packages/gateway/src/peer-broadcast.ts
+++ b/packages/gateway/src/peer-broadcast.ts
@@ -30,6 +30,8 @@
   /** Sends one message to each of several nodes. */
   readonly send: (nodes: readonly string[], message: NodeMessage) => void;
   readonly ownUses: () => readonly UpstreamUse[];
+  /** Services of which this node reaches no upstream. */
+  readonly cutOffServices: () => readonly string[];
   readonly storeAccess: () => StoreAccess;
   readonly revision: () => number;
   /** Digest of the store's entries that this node holds. */
@@ -55,7 +57,8 @@
  * only what changes, so that a node at rest costs nothing but its heartbeats.
  */
 export interface PeerBroadcast {
-  readonly markUsesChanged: () => void;
+  /** To be called when this node's use of upstreams, or the services that it reaches, changed. */
+  readonly markStateChanged: () => void;
   readonly shareLoad: (upstream: string, load: EngineLoad) => void;
   readonly shareReport: (service: string, report: RolloutReport) => void;
   readonly shareFinding: (finding: KeyFinding) => void;
@@ -118,6 +121,7 @@
         sequence,
         store: announcedAccess,
         uses: options.ownUses(),
+        cutOff: options.cutOffServices(),
       };
     };
 
@@ -270,7 +274,7 @@
     };
 
     return {
-      markUsesChanged: () => {
+      markStateChanged: () => {
         ownStateChanged = true;
       },
       shareLoad: (upstream, load) => {
--- a/packages/gateway/src/upstream-client.ts
+++ b/packages/gateway/src/upstream-client.ts
@@ -94,6 +94,8 @@
 /** Client for upstreams, with one implementation per upstream protocol. */
 export interface UpstreamClient {
   readonly send: (send: UpstreamRequest, events: ExchangeEvents) => Exchange;
+  /** Whether a new connection to the upstream opens. Nothing is sent on it, and it is closed at once. */
+  readonly canConnect: (upstream: Upstream) => Promise<boolean>;
   readonly readEngineLoad: (upstream: Upstream) => Promise<Either<Failure, EngineLoad>>;
   /** Ids of the requests that an engine works on, as of some hundred milliseconds ago. */
   readonly listRuns: (upstream: Upstream) => Promise<Either<Failure, readonly string[]>>;
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -10,6 +10,7 @@
 export * from './placement.js';
 export * from './placement-rate.js';
 export * from './quarantine.js';
+export * from './reach.js';
 export * from './retry-budget.js';
 export * from './retry-after-schedule.js';
 export * from './rollout.js';
