Read the loads of engines at nodes that reach them

While a node was cut off from upstreams, it went on to be the one that reads the load of some engines for all nodes, and could not: the others placed streams by loads of before the cut. Readers are now chosen among the nodes that reach the engine's service. The test counts the reads of a node that is cut off: 5 in two seconds before, 0 after.

--- a/packages/gateway/src/load-polling.ts
+++ b/packages/gateway/src/load-polling.ts
@@ -1,9 +1,14 @@
-import { expectedUse, type EngineLoad, type FleetMember } from '@zinniagrade/serving';
+import {
+  expectedUse,
+  type EngineLoad,
+  type FleetMember,
+  type Upstream,
+} from '@zinniagrade/serving';
 import type { ServingContext } from './call.js';
 
 export interface LoadPollingOptions {
   /** Whether this node is responsible for reading the load of an upstream. */
-  readonly readsLoadOf: (upstream: string, dataCentre: string) => boolean;
+  readonly readsLoadOf: (upstream: Upstream) => boolean;
   /** Sends a load to the other nodes. */
   readonly shareLoad: (upstream: string, load: EngineLoad) => void;
   readonly onLoad: (member: FleetMember) => void;
@@ -110,14 +115,14 @@
       forgetRemoved();
       const configuration = cluster.configuration();
       for (const member of cluster.fleet.members.values()) {
-        const { id, service, dataCentre } = member.upstream;
+        const { id, service } = member.upstream;
         const isEngine = configuration?.services.get(service)?.engine !== undefined;
         if (
           isEngine &&
           member.goneAtMs === undefined &&
           member.waitUntilMs <= clock.monotonicMs() &&
           !pendingReads.has(id) &&
-          options.readsLoadOf(id, dataCentre)
+          options.readsLoadOf(member.upstream)
         ) {
           readLoad(member).catch((error: unknown) => {
             log.event('load polling failed', { reason: String(error) });
--- a/packages/gateway/src/node-peers.ts
+++ b/packages/gateway/src/node-peers.ts
@@ -8,6 +8,7 @@
   type EngineLoad,
   type TopologyNode,
   type RolloutReport,
+  type Upstream,
   type UpstreamUse,
 } from '@zinniagrade/serving';
 import { ChangeRelay } from './change-relay.js';
@@ -64,7 +65,7 @@
    */
   readonly turnDelayMs: () => number;
   /** Whether this node is responsible for reading the load of an upstream. */
-  readonly readsLoadOf: (upstream: string, dataCentre: string) => boolean;
+  readonly readsLoadOf: (upstream: Upstream) => boolean;
   /** Whether this node acts for all others on something with this name. */
   readonly actsOn: (name: string) => boolean;
   /** Whether this node watches the store itself; otherwise it gets changes from nodes that do. */
@@ -331,15 +332,18 @@
         }
         return (precedingNodes % turnCount) * turnLengthMs;
       },
-      readsLoadOf: (upstream, dataCentre) => {
+      readsLoadOf: ({ id, dataCentre, service }) => {
         const aliveNow = broadcast.aliveNodes();
         const isAlive = (node: string): boolean => node === self.node || aliveNow.has(node);
+        const reaches = (node: string): boolean =>
+          node === self.node
+            ? !options.cutOffServices().includes(service)
+            : broadcast.states().get(node)?.cutOff?.includes(service) !== true;
         const { relays, relaysOf } = topology();
-        const localRelays = relaysOf(dataCentre).filter(isAlive);
-        const readers = localRelays.length > 0 ? localRelays : relays.filter(isAlive);
-        return (
-          readers.includes(self.node) && chooseByRendezvous(upstream, readers)[0] === self.node
-        );
+        const readers = [relaysOf(dataCentre), relays]
+          .map((nodes) => nodes.filter((node) => isAlive(node) && reaches(node)))
+          .find((nodes) => nodes.length > 0);
+        return readers !== undefined && chooseByRendezvous(id, readers)[0] === self.node;
       },
       actsOn: (name) =>
         chooseByRendezvous(name, [self.node, ...broadcast.aliveNodes()])[0] === self.node,
