Pass requests on to nodes that reach the service

Cause: a node served callers by its own connections to upstreams only.

A node that is cut off from a service now sends its requests to the caller address of a node that reaches it, with the caller's key, the time that is left and a mark that keeps them from being passed on again. Which services a node reaches comes from ServiceReach.

Ruled out: the links between nodes as transport, since their frames are bounded and shared with news of all requests; a proof of the sender, since a caller that sets the mark only loses retries; the matching of responses that is used for upstreams, since a node's own errors carry no id and would have been taken for answers to another request on kept connections; the retry budget for requests that have not run, since a cut-off node empties it. A hedge is repeated if the cut is noticed only after the first one.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -8,6 +8,7 @@
 import type { MemoryGate } from './memory-gate.js';
 import type { MemoryLimits } from './memory-limits.js';
 import type { Metrics } from './metrics.js';
+import type { NodeRelay } from './node-relay.js';
 import type { RequestDeadline } from './request-deadline.js';
 import type { RequestGuard } from './request-guard.js';
 import type { RouteDurations } from './route-durations.js';
@@ -61,6 +62,8 @@
   readonly durations: RouteDurations;
   /** Which services this node and others reach. */
   readonly reach: ServiceReach;
+  /** Passes requests on to nodes that reach a service which this node doesn't. */
+  readonly relay: NodeRelay;
   /** Whether this node is shutting down. */
   readonly isLeaving: () => boolean;
   /** Whether a call that has not been sent can still be finished; false only if the node leaves. */
--- a/packages/gateway/src/caller-request.ts
+++ b/packages/gateway/src/caller-request.ts
@@ -13,6 +13,13 @@
   readonly hintedOutputTokens?: number;
 }
 
+/** What a node says of a request that it passes on. */
+export interface PassedOnMark {
+  readonly by: string;
+  /** Upstreams that may have run the request before; they count against the route's attempts. */
+  readonly possibleRuns: number;
+}
+
 /** A request as received, with the fields that the gateway uses to route and admit it. */
 export interface CallerRequest {
   /** Identifies one attempt of the caller. */
@@ -34,6 +41,11 @@
   readonly promptParts: readonly string[];
   /** Id of the last event that the caller has of a stream that it resumes; not validated. */
   readonly lastEventId?: string;
+  /**
+   * Stated by a node that passed the request on to this one, which must not pass it on again. A
+   * caller may state it too, and only harms itself by that.
+   */
+  readonly passedOn?: PassedOnMark;
 }
 
 /** Parses the headers that the caller protocol defines. */
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -123,6 +123,7 @@
           route: route.name,
           kind: route.kind,
           account: account?.name,
+          passedOnBy: request.passedOn?.by,
           configuration: cluster.configuration()?.version,
           configurationAtArrival: routed.configuration.version,
           timeoutMs: deadline.timeoutMs(),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,8 +17,10 @@
 import { MemoryLimits } from './memory-limits.js';
 import { keepFormerValue, MemoryWatch, noMemoryUse, readMemoryUse } from './memory-use.js';
 import { createMetricsServer, Metrics } from './metrics.js';
+import { NodeRelay } from './node-relay.js';
 import { NodePeers } from './node-peers.js';
 import { OpenStream } from './open-stream.js';
+import { passOnStream } from './pass-on-stream.js';
 import type { Platform } from './platform.js';
 import { QuarantineEntries } from './quarantine-entries.js';
 import { Registration } from './registration.js';
@@ -35,7 +37,11 @@
 import { StoreMirror } from './store-mirror.js';
 import { EngineDrainer } from './engine-drainer.js';
 import { Shutdown } from './shutdown.js';
-import { closeUnusedConnections, limitConnections } from './upstream-connections.js';
+import {
+  callerAddressesOf,
+  closeUnusedConnections,
+  limitConnections,
+} from './upstream-connections.js';
 import { countUnusedConnections } from './unused-connections.js';
 import { UnreadResponses } from './unread-responses.js';
 import { UpstreamStatements } from './upstream-statements.js';
@@ -62,12 +68,16 @@
 const linksSettleMs = 2500;
 
 export const Gateway = {
-  /** `readResidentBytes` reads the memory that counts against the limit of the settings. */
+  /**
+   * `readResidentBytes` reads the memory that counts against the limit of the settings.
+   * `statedReach` replaces what this node finds out of the services that it reaches.
+   */
   create: (
     platform: Platform,
     clock: Clock,
     log: Log,
     readResidentBytes: () => number = () => process.memoryUsage.rss(),
+    statedReach?: ServiceReach,
   ): Gateway => {
     const { store } = platform;
     let { settings } = platform;
@@ -87,7 +97,7 @@
       },
       address: settings.listen.nodes,
       mirror: () => mirror,
-      cutOffServices: () => reach.cutOffServices(),
+      cutOffServices: () => watchedReach.cutOffServices(),
       onLoad: (upstream, load, readAtMs) => {
         loadPolling.receiveLoad(upstream, load, readAtMs);
       },
@@ -104,11 +114,12 @@
       limits: () => statedLimits.findings(),
     });
 
-    const reach: WatchedReach = ServiceReach.create(clock, random, log, cluster, {
+    const watchedReach: WatchedReach = ServiceReach.create(clock, random, log, cluster, {
       node: settings.node,
       client: platform.upstreams,
       peers,
     });
+    const reach: ServiceReach = statedReach ?? watchedReach;
 
     const statedLimits: StatedLimits = StatedLimits.create(clock, log, cluster.fleet, {
       node: settings.node,
@@ -204,7 +215,7 @@
       log,
       metrics,
       cluster,
-      client: reach.client,
+      client: watchedReach.client,
       limits,
       memory,
       unread,
@@ -228,6 +239,11 @@
       turnDelayMs: peers.turnDelayMs,
       durations,
       reach,
+      relay: NodeRelay.create(
+        { clock, random, log, metrics, limits, responseMemory, reach },
+        settings.node,
+        platform.nodes,
+      ),
       isLeaving: shutdown.hasBegun,
       canFinish: (call) =>
         shutdown.canFinish({
@@ -253,6 +269,9 @@
         serveCall(context, call);
       },
       serveStream: (call, engine) => {
+        if (passOnStream(context, call)) {
+          return;
+        }
         const stream = OpenStream.create(context, call, engine);
         if (!engine.movable) {
           return;
@@ -341,6 +360,7 @@
       guard.sweep();
       lostEntries.sweep();
       closeUnusedConnections(context);
+      platform.nodes.closeIdleExcept(callerAddressesOf(cluster.nodes.values()));
     };
     clock.after(maxSecretDelayMs * random(), sweep);
     const stopTicks = clock.every(sweepIntervalMs, sweep);
@@ -353,7 +373,7 @@
         ready: isReady(),
         nodes: cluster.nodes.values(),
         connected: peers.aliveNodes(),
-        cutOff: reach.cutOffNodes(),
+        cutOff: watchedReach.cutOffNodes(),
         linksSettled:
           mirrorCompleteAtMs !== undefined &&
           clock.monotonicMs() - mirrorCompleteAtMs > linksSettleMs,
@@ -436,7 +456,7 @@
         unread.stop();
         loadPolling.stop();
         rollouts.stop();
-        reach.stop();
+        watchedReach.stop();
         peers.close();
         mirror.stop();
         for (const server of servers) {
@@ -444,6 +464,7 @@
           server.closeAllConnections();
         }
         platform.upstreams.close();
+        platform.nodes.close();
         store.close();
         log.close();
       },
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -8,6 +8,7 @@
   type StreamEvent,
   type StreamRecovery,
 } from '@zinniagrade/serving';
+import { passOnStream } from './pass-on-stream.js';
 import { beginStreamResponse, forwardResponse } from './responses.js';
 import type { Call, ServingContext } from './call.js';
 import { watchSilence } from './silence-watch.js';
@@ -167,8 +168,20 @@
       continuation.recover(lost, reason);
     };
 
+    /** Passes a request on that no engine has run, if this node reaches none. */
+    const passOn = (): boolean => {
+      if (mayHaveRun || runs > 0 || !passOnStream(context, call)) {
+        return false;
+      }
+      mayHaveRun = true;
+      return true;
+    };
+
     /** Sends a request that was not executed to another engine, or refuses it. */
     const tryAnotherEngine = (): void => {
+      if (passOn()) {
+        return;
+      }
       refusals += 1;
       if (
         refusals > maxRefusals ||
@@ -351,8 +364,10 @@
           startSegment(member);
         },
         (failure, reason) => {
-          logStep(reason);
-          refuse(failure);
+          if (!passOn()) {
+            logStep(reason);
+            refuse(failure);
+          }
         },
       );
     };
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -1,6 +1,7 @@
 import type { ReadCallerRequest } from './caller-request.js';
 import type { ClusterChange, NodeEntry, RolloutStatus } from './cluster-state.js';
 import type { MetadataStore } from './metadata-store.js';
+import type { NodeClient } from './node-client.js';
 import type { GatewaySettings } from './settings.js';
 import type { UpstreamClient } from './upstream-client.js';
 
@@ -9,6 +10,8 @@
   readonly settings: GatewaySettings;
   readonly store: MetadataStore;
   readonly upstreams: UpstreamClient;
+  /** For requests that another node serves, at its address for callers. */
+  readonly nodes: NodeClient;
   readonly readCallerRequest: ReadCallerRequest;
   /** Decodes the value of a store key; an undefined value means that the key was removed. */
   readonly decodeChange: (key: string, value: Buffer | undefined) => ClusterChange;
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -10,6 +10,8 @@
 import { forwardResponse } from './responses.js';
 import { BoundedBody } from './bounded-body.js';
 import type { Call, ServingContext } from './call.js';
+import { outcomeOfResponse, type NodeResponse } from './node-relay.js';
+import { CallRelay } from './pass-on-call.js';
 import type { ResponseHead, Exchange, ExchangeFailure } from './upstream-client.js';
 
 /** Time for which an upstream is not chosen after a connection to it has failed. */
@@ -23,11 +25,6 @@
 /** Retry delay for callers: a full upstream has a free slot again after about this time. */
 const refusalRetryAfterMs = 250;
 
-interface BufferedResponse {
-  readonly head: ResponseHead;
-  readonly body: Buffer;
-}
-
 /** One attempt: a call sent to one upstream. */
 interface Attempt {
   readonly exchange: Exchange;
@@ -45,10 +42,13 @@
   const excluded = new Set<string>();
   const attempts = new Set<Attempt>();
   const { budget, placements } = context.recordOf(service.name);
+  /** Over all nodes that have the request. */
+  const maxRuns = route.maxAttempts - (request.passedOn?.possibleRuns ?? 0);
   let possibleRuns = 0;
   let sends = 0;
   let refusals = 0;
-  let failedResponse: BufferedResponse | undefined;
+  let hedged = false;
+  let failedResponse: NodeResponse | undefined;
 
   const choice = (): PlacementConstraints => ({
     nowMs: clock.monotonicMs(),
@@ -75,6 +75,11 @@
     context.rollouts.recordOutcome(member, route.name, failed);
   };
 
+  const sendNodeResponse = (received: NodeResponse): void => {
+    forwardResponse(context.unread, call.response, received.head, received.body);
+    call.finish(outcomeOfResponse(received));
+  };
+
   const endUnserved = (refusal?: Failure): void => {
     if (failedResponse !== undefined) {
       forwardResponse(context.unread, call.response, failedResponse.head, failedResponse.body);
@@ -90,6 +95,11 @@
       );
       return;
     }
+    const nodeRefusal = relayed.refusal();
+    if (nodeRefusal !== undefined) {
+      sendNodeResponse(nodeRefusal);
+      return;
+    }
     call.fail(
       refusal ??
         Failure.create(
@@ -100,12 +110,23 @@
     );
   };
 
+  /** A second attempt that is not sent must not end the first one. */
+  const endUnlessInFlight = (refusal?: Failure): void => {
+    if (attempts.size === 0 && !relayed.isInFlight()) {
+      endUnserved(refusal);
+    }
+  };
+
   /**
    * Retries if idempotency, the attempt limit and the retry budget allow it; otherwise ends the
    * call.
    */
   const retryOrEnd = (mayHaveRun: boolean): void => {
-    if (call.isEnded() || attempts.size > 0) {
+    if (call.isEnded() || attempts.size > 0 || relayed.isInFlight()) {
+      return;
+    }
+    // What has not run is no repeat at another node, so that it needs no retry budget.
+    if (!mayHaveRun && possibleRuns === 0 && relayed.passOn(0)) {
       return;
     }
     if (mayHaveRun && !context.guard.allowsRepeat(call)) {
@@ -113,9 +134,12 @@
       return;
     }
     const allowed = mayHaveRun
-      ? idempotent && possibleRuns < route.maxAttempts
+      ? idempotent && possibleRuns < maxRuns
       : refusals <= maxRefusals && (idempotent || possibleRuns === 0);
-    if (!allowed || (sends > 0 && !budget.tryTakeRetry(clock.monotonicMs(), context.nodeCount()))) {
+    if (
+      !allowed ||
+      ((sends > 0 || mayHaveRun) && !budget.tryTakeRetry(clock.monotonicMs(), context.nodeCount()))
+    ) {
       endUnserved();
       return;
     }
@@ -196,9 +220,10 @@
   const send = (): void => {
     const refusal = context.guard.refusal(call);
     if (refusal !== undefined) {
-      if (attempts.size === 0) {
-        endUnserved(refusal);
-      }
+      endUnlessInFlight(refusal);
+      return;
+    }
+    if (relayed.passOn(possibleRuns + attempts.size)) {
       return;
     }
     const member = placeCall(
@@ -207,10 +232,7 @@
       context.random,
     );
     if (member === undefined) {
-      // A second attempt that finds no upstream must not end the first one.
-      if (attempts.size === 0) {
-        endUnserved();
-      }
+      endUnlessInFlight();
       return;
     }
     const { upstream } = member;
@@ -314,25 +336,50 @@
 
   const hedge = (): void => {
     const maxPossibleRuns = possibleRuns + attempts.size;
-    if (call.isEnded() || attempts.size === 0 || maxPossibleRuns >= route.maxAttempts) {
+    if (call.isEnded() || attempts.size === 0 || maxPossibleRuns >= maxRuns) {
+      return;
+    }
+    // Another node hedges what it is passed on.
+    if (relayed.isInFlight() || (hedged && !relayed.canPassOn())) {
       return;
     }
     if (!context.guard.allowsRepeat(call)) {
       return;
     }
     if (budget.tryTakeRetry(clock.monotonicMs(), context.nodeCount())) {
+      hedged = true;
       metrics.countDecision('hedge');
       send();
     }
   };
 
+  const relayed = CallRelay.create(context, call, {
+    onAnswered: (received) => {
+      if (received.head.sealed || attempts.size === 0) {
+        sendNodeResponse(received);
+      } else {
+        possibleRuns += 1;
+        failedResponse = received;
+      }
+    },
+    onNotRun: () => {
+      retryOrEnd(false);
+    },
+    onLost: () => {
+      possibleRuns += 1;
+      retryOrEnd(true);
+    },
+    onNoneLeft: endUnlessInFlight,
+  });
+
   send();
   if (idempotent && !call.isEnded()) {
-    const cancelHedge = clock.after(route.goalMs * hedgeDelayGoalShare, hedge);
+    // Once more where it turns out later that the node is cut off, and then at another node.
+    const cancelHedge = clock.every(route.goalMs * hedgeDelayGoalShare, hedge);
     call.onEnded(cancelHedge);
   }
   call.deadline.onReached(() => {
-    if (sends === 0) {
+    if (sends === 0 && !relayed.wasPassedOn()) {
       endUnserved();
     } else {
       call.fail(
--- a/packages/gateway/src/upstream-connections.ts
+++ b/packages/gateway/src/upstream-connections.ts
@@ -1,4 +1,5 @@
 import type { ServingContext } from './call.js';
+import type { NodeEntry } from './cluster-state.js';
 
 /** Share of the connections that upstreams accept; nodes that just died may still hold the rest. */
 const connectionLimitShare = 0.8;
@@ -24,3 +25,6 @@
   }
   client.closeIdleExcept(addresses);
 };
+
+export const callerAddressesOf = (nodes: Iterable<NodeEntry>): ReadonlySet<string> =>
+  new Set([...nodes].map(({ callerAddress }) => callerAddress));
