--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -240,7 +240,7 @@
       durations,
       reach,
       relay: NodeRelay.create(
-        { clock, random, log, metrics, limits, responseMemory, reach },
+        { clock, random, log, metrics, limits, responseMemory, reach, cluster },
         settings.node,
         platform.nodes,
       ),
--- a/packages/gateway/src/node-relay.test.ts
+++ b/packages/gateway/src/node-relay.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { VirtualClock } from '@zinniagrade/clock';
+import { Fleet } from '@zinniagrade/serving';
 import type { Call, ServingContext } from './call.js';
 import type { NodeEntry } from './cluster-state.js';
 import { Log } from './log.js';
@@ -58,6 +59,7 @@
         limits: { maxResponseBytes: 100 },
         responseMemory: { take: () => true, free: () => undefined, usedBytes: () => 0 },
         reach: { isCutOff: () => isCutOff, nodesReaching: () => nodes },
+        cluster: { fleet: Fleet.create() },
       } as unknown as ServingContext,
       'a',
       {
@@ -71,8 +73,8 @@
     );
   });
 
-  const nodeFor = (call: Call, tried: readonly string[] = []): string => {
-    const direction = relay.direct(call, new Set(tried));
+  const nodeFor = (call: Call, tried: readonly string[] = [], unreached = 0): string => {
+    const direction = relay.direct(call, new Set(tried), unreached);
     return direction.kind === 'pass-on' ? direction.node.node : direction.kind;
   };
 
@@ -105,6 +107,16 @@
     expect(nodeFor(createCall('z'))).to.equal('serve-here');
   });
 
+  it('passes on what reached none of two upstreams, though the service is within reach', () => {
+    // Guards against requests that fail while kept connections go on and new ones are refused, and
+    // against one crashed upstream that sends requests over another node.
+    isCutOff = false;
+    expect(nodeFor(createCall(), [], 1)).to.equal('serve-here');
+    expect(nodeFor(createCall(), [], 2)).to.equal('b');
+    expect(nodeFor(createCall('z'), [], 2)).to.equal('serve-here');
+    expect(nodeFor(createCall(), ['b', 'c'], 2)).to.equal('refuse');
+  });
+
   const outcomeOf = (head: Partial<ResponseHead>): string => {
     let outcome: PassedOnOutcome | undefined;
     relay.send(createCall(), entryOf('b'), 0, (received) => (outcome = received));
--- a/packages/gateway/src/node-relay.ts
+++ b/packages/gateway/src/node-relay.ts
@@ -1,4 +1,5 @@
 import { Failure } from '@zinniagrade/errors';
+import { areAllUnreached } from '@zinniagrade/serving';
 import { BoundedBody } from './bounded-body.js';
 import type { Call, ServingContext } from './call.js';
 import type { NodeEntry } from './cluster-state.js';
@@ -37,8 +38,11 @@
 
 /** Passes requests on to nodes that reach the service, while this node reaches none of its upstreams. */
 export interface NodeRelay {
-  /** `tried` has the names of the nodes that got the request before. */
-  readonly direct: (call: Call, tried: ReadonlySet<string>) => Direction;
+  /**
+   * `tried` has the names of the nodes that got the request before, `unreached` the number of
+   * upstreams to which no connection for this request opened.
+   */
+  readonly direct: (call: Call, tried: ReadonlySet<string>, unreached: number) => Direction;
   /**
    * Passes a call on, which up to `possibleRuns` upstreams may have run. Calls `onOutcome` once, or never if the call ends before, which closes the
    * connection to the other node.
@@ -52,6 +56,11 @@
   ) => void;
 }
 
+/**
+ * Upstreams to which no connection opened, after which a request goes to another node although the
+ * service isn't out of reach as a whole: kept connections may go on while new ones are refused.
+ */
+const maxUnreached = 2;
 /** A second node gets a request only if it is certain, or harmless, that the first one ran it. */
 const maxNodes = 2;
 /** Retry delay for callers, who choose another node then. */
@@ -87,12 +96,12 @@
 
 type RelayDependencies = Pick<
   ServingContext,
-  'clock' | 'random' | 'log' | 'metrics' | 'limits' | 'responseMemory' | 'reach'
+  'clock' | 'random' | 'log' | 'metrics' | 'limits' | 'responseMemory' | 'reach' | 'cluster'
 >;
 
 export const NodeRelay = {
   create: (
-    { clock, random, log, metrics, limits, responseMemory, reach }: RelayDependencies,
+    { clock, random, log, metrics, limits, responseMemory, reach, cluster }: RelayDependencies,
     self: string,
     client: NodeClient,
   ): NodeRelay => {
@@ -115,8 +124,12 @@
       return candidates[Math.floor(random() * candidates.length)];
     };
 
-    const direct: NodeRelay['direct'] = ({ request, service }, tried) => {
-      if (!reach.isCutOff(service.name)) {
+    const direct: NodeRelay['direct'] = ({ request, service }, tried, unreached) => {
+      const isCutOff = reach.isCutOff(service.name);
+      const members = cluster.fleet.ofService(service.name);
+      const isUnreached =
+        unreached >= maxUnreached || areAllUnreached(members, clock.monotonicMs());
+      if (!isCutOff && !isUnreached) {
         return { kind: 'serve-here' };
       }
       const isPassedOn = request.passedOn !== undefined;
@@ -125,7 +138,7 @@
       if (node !== undefined) {
         return { kind: 'pass-on', node };
       }
-      if (!isPassedOn && tried.size === 0) {
+      if (tried.size === 0 && !(isPassedOn && isCutOff)) {
         return { kind: 'serve-here' };
       }
       const detail = `this node reaches no upstream of ${service.name}`;
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -63,6 +63,8 @@
     let standby: Standby | undefined;
     let headSent = false;
     let refusals = 0;
+    /** Engines to which no connection opened. */
+    let unreached = 0;
     let continuations = 0;
     /** Runs that were begun; one that its engine refused does not count. */
     let runs = 0;
@@ -170,7 +172,7 @@
 
     /** Passes a request on that no engine has run, if this node reaches none. */
     const passOn = (): boolean => {
-      if (mayHaveRun || runs > 0 || !passOnStream(context, call)) {
+      if (mayHaveRun || runs > 0 || !passOnStream(context, call, unreached)) {
         return false;
       }
       mayHaveRun = true;
@@ -251,6 +253,10 @@
         const { member, sentAtMs } = endedSegment;
         context.guard.onEarlyLoss(call, member.upstream.id, sentAtMs);
       }
+      if (failure.isUnreached === true) {
+        endedSegment.member.unreachedAtMs = clock.monotonicMs();
+        unreached += 1;
+      }
       if (failure.possiblySent) {
         recover(endedSegment, failure.reason);
         return;
--- a/packages/gateway/src/pass-on-call.ts
+++ b/packages/gateway/src/pass-on-call.ts
@@ -14,6 +14,8 @@
   readonly canPassOn: () => boolean;
   readonly isInFlight: () => boolean;
   readonly wasPassedOn: () => boolean;
+  /** Records that no connection to an upstream opened for the call. */
+  readonly recordUnreached: () => void;
   /** The last refusal of another node. */
   readonly refusal: () => NodeResponse | undefined;
 }
@@ -32,11 +34,12 @@
   create: ({ relay }: ServingContext, call: Call, handlers: CallRelayHandlers): CallRelay => {
     const tried = new Set<string>();
     let inFlight = 0;
+    let unreached = 0;
     let refusal: NodeResponse | undefined;
 
     return {
       passOn: (possibleRuns) => {
-        const direction = relay.direct(call, tried);
+        const direction = relay.direct(call, tried, unreached);
         switch (direction.kind) {
           case 'serve-here':
             return false;
@@ -66,9 +69,12 @@
         });
         return true;
       },
-      canPassOn: () => relay.direct(call, tried).kind === 'pass-on',
+      canPassOn: () => relay.direct(call, tried, unreached).kind === 'pass-on',
       isInFlight: () => inFlight > 0,
       wasPassedOn: () => tried.size > 0,
+      recordUnreached: () => {
+        unreached += 1;
+      },
       refusal: () => refusal,
     };
   },
--- a/packages/gateway/src/pass-on-stream.ts
+++ b/packages/gateway/src/pass-on-stream.ts
@@ -9,9 +9,10 @@
 
 /**
  * Passes a stream that has not run on to another node, if this node reaches no upstream of its
- * service, and relays the response as it arrives. Returns false if this node has to serve it.
+ * service, and relays the response as it arrives. Returns false if this node has to serve it. To
+ * `unreached` upstreams no connection opened for it.
  */
-export const passOnStream = (context: ServingContext, call: Call): boolean => {
+export const passOnStream = (context: ServingContext, call: Call, unreached = 0): boolean => {
   const { log, relay, unread } = context;
   const { request, response } = call;
   const tried = new Set<string>();
@@ -79,7 +80,7 @@
   };
 
   const passOnAgain = (refusal?: NodeResponse): void => {
-    const direction = relay.direct(call, tried);
+    const direction = relay.direct(call, tried, unreached);
     if (direction.kind === 'pass-on') {
       sendTo(direction.node);
       return;
@@ -92,7 +93,7 @@
     call.fail(Failure.create('no-upstream', detail, refusalRetryAfterMs));
   };
 
-  const direction = relay.direct(call, tried);
+  const direction = relay.direct(call, tried, unreached);
   switch (direction.kind) {
     case 'serve-here':
       return false;
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -207,6 +207,10 @@
       member,
       failure.reason,
     );
+    if (failure.isUnreached === true) {
+      member.unreachedAtMs = clock.monotonicMs();
+      relayed.recordUnreached();
+    }
     if (!failure.possiblySent) {
       member.avoidUntilMs = clock.monotonicMs() + avoidAfterFailureMs;
       refusals += 1;
--- a/packages/gateway/src/upstream-client.ts
+++ b/packages/gateway/src/upstream-client.ts
@@ -54,6 +54,8 @@
   /** False only if no byte of the request can have left the node. */
   readonly possiblySent: boolean;
   readonly reason: string;
+  /** Whether no connection to the upstream opened. */
+  readonly isUnreached?: boolean;
   /** Whether the upstream closed the connection, in order and before the end of its response. */
   readonly isClosedInOrder?: boolean;
 }
--- a/packages/serving/src/fleet.test.ts
+++ b/packages/serving/src/fleet.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { Fleet } from './fleet.js';
+import { areAllUnreached, Fleet } from './fleet.js';
 import type { Upstream } from './upstream.js';
 
 const upstream: Upstream = {
@@ -15,6 +15,22 @@
 };
 
 describe('fleet', () => {
+  it('is unreached while connections to all upstreams that serve have failed lately', () => {
+    // Guards against one crashed upstream that makes a service look unreached.
+    const fleet = Fleet.create();
+    const members = ['u', 'v', 'w'].map((id) => fleet.register({ ...upstream, id }, 0));
+    const [first, second, third] = members;
+    expect(areAllUnreached(members, 100)).to.equal(false);
+    for (const member of [first, second]) {
+      Object.assign(member ?? {}, { unreachedAtMs: 100 });
+    }
+    expect(areAllUnreached(members, 100)).to.equal(false);
+    Object.assign(third ?? {}, { leaving: true });
+    expect(areAllUnreached(members, 100)).to.equal(true);
+    expect(areAllUnreached(members, 1000)).to.equal(false);
+    expect(areAllUnreached([], 100)).to.equal(false);
+  });
+
   it('keeps what an upstream has stated while its registration lapses and comes back', () => {
     // Guards against new work at an upstream that leaves, after an outage of the store.
     const fleet = Fleet.create();
--- a/packages/serving/src/fleet.ts
+++ b/packages/serving/src/fleet.ts
@@ -36,6 +36,8 @@
   failureShare: number;
   /** After connection failures, no requests are sent before this time. */
   avoidUntilMs: number;
+  /** When a connection to it last failed to open; the latest failure counts for a short time. */
+  unreachedAtMs: number;
   /** Until this time the upstream wants no requests of this node, as it has stated. */
   waitUntilMs: number;
   /** Until this time on the monotonic clock the upstream is cold and would fail under full load. */
@@ -87,6 +89,7 @@
   msPerPromptToken: 0,
   failureShare: 0,
   avoidUntilMs: 0,
+  unreachedAtMs: -Infinity,
   waitUntilMs: 0,
   statesLeaving: false,
   coldUntilMs: nowMs + upstream.coldLeftMs,
@@ -193,6 +196,17 @@
   member.statedLimit.recordSend(nowMs);
 };
 
+/** Time for which an upstream counts as unreached after a connection to it failed to open. */
+const unreachedMs = 500;
+
+/** Whether no connection opened lately to any of these upstreams that still serve. */
+export const areAllUnreached = (members: readonly FleetMember[], nowMs: number): boolean => {
+  const serving = members.filter(({ leaving, goneAtMs }) => !leaving && goneAtMs === undefined);
+  return (
+    serving.length > 0 && serving.every(({ unreachedAtMs }) => nowMs - unreachedAtMs <= unreachedMs)
+  );
+};
+
 /** Updates the smoothed latency and failure share with one response. */
 export const recordAnswer = (member: FleetMember, latencyMs: number, failed: boolean): void => {
   member.failureShare += newestAnswerWeight * ((failed ? 1 : 0) - member.failureShare);
