Move streams from silent engines without closing them first

What callers saw: a stream whose engine sent no event for 1.7 s and would have gone on ended as generation-lost, at event 40 of 80 in the tests, if its backup was missing or the target refused the continuation.

Cause: the silence watch closed the connection and recovered the stream afterwards. Most engines drop a run when its connection closes, so nothing was left where the backup could not be used.

Fix: a silent stream that would continue from a copy is moved like one whose engine leaves (silent-engine.ts): the stop goes over a new connection while the old one is open, and a stopped run goes on from the target's copy, the source's own, or the backup. A run that goes on (409, 404, 503 without a handle) stays, and the watch looks again after its interval. A stop without a reply in maxRunEndWaitMs counts as unanswered; the engine is then lost, unless an event has come meanwhile. Streams that run again elsewhere, and engines without moves, are handled as before. While a move is under way no second stop is sent.

Time for lost engines: the wait for the stop comes before the close now, and a second one after it outlasts the caller. So the engine's list of runs is asked for beside the stop. If neither is answered in time, the stream goes on from its backup at once; an engine that has sent its list is still asked after the close. The bounds of stream-recovery.ts are as they were.

Ruled out: both waits one after the other also for engines that reply to nothing. A list without the run does not count as stopped while the response is open: that a preempted run is always listed is not shown.

Evidence, silent-engines.test.ts (12 tests; 8 of them run with an engine that drops runs and one that keeps them): before, 7 of 12 failed, each at the engine that drops runs, with the body ended after event 40; the other engine is compared after it, so its result before is not shown. After, 12 of 12 in each of three runs. The five that passed before guard today's way: a stop without a reply, an engine that begins to leave, and three that reply to nothing. silent-engine.test.ts guards the parts (6 tests). Other runs after: gateway 103 of 103; refused-handovers 15 of 15, stream-handovers 5 of 5, cut-streams 28, lost-streams 3, resumable-streams 31, repeated refusals 9, shutdown and gateway 29, all passed.

Left: if an engine replies to the stop only after the wait and closes its response no sooner, the memory that the reply names is freed, and the stream has only its backup. No test has an engine that sends its list of runs but never replies to the stop; the unit tests cover the decision alone.

No existing test was changed. open-stream.ts is shorter by 14 lines.

--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -1,7 +1,6 @@
 import { Failure } from '@zinniagrade/errors';
 import {
   decideRecovery,
-  maxSilenceMs,
   recordAnswer,
   type Engine,
   type FleetMember,
@@ -11,8 +10,8 @@
 import { passOnStream } from './pass-on-stream.js';
 import { beginStreamResponse, forwardResponse } from './responses.js';
 import type { Call, ServingContext } from './call.js';
-import { watchSilence } from './silence-watch.js';
 import { PlannedStops } from './planned-stop.js';
+import { SilentEngine } from './silent-engine.js';
 import { StreamMigration } from './stream-migration.js';
 import { canRecover, type Standby } from './standby.js';
 import { StreamAdmission } from './stream-admission.js';
@@ -165,9 +164,9 @@
         maxRuns: route.maxAttempts,
       });
 
-    const recover = (lost: StreamSegment, reason: string): void => {
+    const recover = (lost: StreamSegment, reason: string, isUnreachable = false): void => {
       mayHaveRun = true;
-      continuation.recover(lost, reason);
+      continuation.recover(lost, reason, isUnreachable);
     };
 
     /** Passes a request on that no engine has run, if this node reaches none. */
@@ -402,7 +401,6 @@
       continueFrom: continuation.continueFrom,
       logStep,
     });
-
     call.onEnded(() => {
       segment?.close();
     });
@@ -415,24 +413,12 @@
         );
       }
     });
-    const stopWatch = watchSilence(clock, {
-      lastProgressAtMs: () => Math.max(progress.lastEventAtMs(), segment?.sentAtMs ?? 0),
-      maxSilenceMs: () =>
-        segment === undefined || segment.isClosed()
-          ? Infinity
-          : maxSilenceMs({
-              goalMs: route.goalMs,
-              gapGoalMs: route.gapGoalMs,
-              recovery: recovery(),
-            }),
-      onSilent: () => {
-        if (segment !== undefined) {
-          segment.close();
-          recover(segment, 'the engine sent no event for too long');
-        }
-      },
+    const silentEngine = SilentEngine.create(context, call, engine.movable, progress, migration, {
+      segment: () => segment,
+      recovery,
+      recover,
     });
-    call.onEnded(stopWatch);
+    call.onEnded(silentEngine.watch());
     budget.recordFirstSend(clock.monotonicMs());
     admit();
 
--- a/packages/gateway/src/planned-stop.ts
+++ b/packages/gateway/src/planned-stop.ts
@@ -42,7 +42,12 @@
 export interface PlannedStops {
   /** To be called with each end of a response that a stop may have caused. */
   readonly onEnd: (end: SegmentEnd) => void;
-  readonly stop: (segment: StreamSegment, target: FleetMember) => Promise<PlannedStop>;
+  /** After `maxWaitMs`, if set, a stop without a reply counts as unanswered. */
+  readonly stop: (
+    segment: StreamSegment,
+    target: FleetMember,
+    maxWaitMs?: number,
+  ) => Promise<PlannedStop>;
 }
 
 /** Dependencies of `PlannedStops`. */
@@ -51,6 +56,13 @@
 /** Timeout for a copy; engines that leave at short notice are gone by then. */
 export const copyTimeoutMs = 2500;
 
+/** Outcomes in the log of a stop that settled without a reply. */
+const outcomesWithoutReply = {
+  ended: 'response ended',
+  late: 'no reply in time',
+  failed: 'failed',
+} as const;
+
 const memoryOf = (reply: CopyOutcome): StoppedRun | undefined => {
   switch (reply.outcome) {
     case 'copied':
@@ -147,7 +159,20 @@
       });
     };
 
-    const stop = async (segment: StreamSegment, target: FleetMember): Promise<PlannedStop> => {
+    /** Resolves after the longest wait for a reply; never if there is none. */
+    const awaitLimit = (maxWaitMs: number | undefined, settled: Promise<unknown>): Promise<void> =>
+      new Promise((resolve) => {
+        if (maxWaitMs !== undefined) {
+          const cancel = clock.after(maxWaitMs, resolve);
+          void settled.then(cancel);
+        }
+      });
+
+    const stop = async (
+      segment: StreamSegment,
+      target: FleetMember,
+      maxWaitMs?: number,
+    ): Promise<PlannedStop> => {
       const { upstream } = segment.member;
       const askedAtMs = clock.monotonicMs();
       stopping = segment;
@@ -163,16 +188,18 @@
       const replied = await Promise.race([
         outcome,
         awaitShownEnd(segment, outcome).then(() => 'ended' as const),
+        awaitLimit(maxWaitMs, outcome).then(() => 'late' as const),
       ]);
       stopping = undefined;
       const end = heldEnd;
       heldEnd = undefined;
-      const memory = replied === 'ended' || replied === undefined ? undefined : memoryOf(replied);
+      const isReply = replied !== undefined && replied !== 'ended' && replied !== 'late';
+      const memory = isReply ? memoryOf(replied) : undefined;
       log.decision('planned stop', {
         request: requestId,
         upstream: upstream.id,
         target: target.upstream.id,
-        outcome: replied === 'ended' ? 'response ended' : (replied?.outcome ?? 'failed'),
+        outcome: isReply ? replied.outcome : outcomesWithoutReply[replied ?? 'failed'],
         hasMemory: memory !== undefined,
         responseEnded: end !== undefined,
         afterMs: Math.round(clock.monotonicMs() - askedAtMs),
@@ -192,12 +219,17 @@
         segment.close();
         return { kind: 'stopped', memory, reply };
       }
-      const isUnanswered = replied === undefined || replied.outcome === 'unreachable';
+      const isUnanswered = !isReply || replied.outcome === 'unreachable';
       // A reply that can't be read, or a call that went before, may have stopped the run as well.
-      const isEndDoubtful = end !== undefined && replied?.outcome !== 'no-such-run';
+      const isEndDoubtful = end !== undefined && !(isReply && replied.outcome === 'no-such-run');
       if (isUnanswered || isEndDoubtful) {
         doubtful = segment;
       }
+      if (replied === 'late') {
+        void reply.then((late) => {
+          dropMemory(segment, late);
+        });
+      }
       if (end !== undefined) {
         conclude(end);
       }
--- a/packages/gateway/src/stream-continuation.ts
+++ b/packages/gateway/src/stream-continuation.ts
@@ -28,8 +28,11 @@
 
 /** Lets a stream go on after a segment of it has ended too early, or ends the stream. */
 export interface StreamContinuation {
-  /** For a lost engine, which may still work on the run; closes the connection to it. */
-  readonly recover: (lost: StreamSegment, reason: string) => void;
+  /**
+   * For a lost engine, which may still work on the run; closes the connection to it. One that is
+   * known to be unreachable is not asked for its word.
+   */
+  readonly recover: (lost: StreamSegment, reason: string, isUnreachable?: boolean) => void;
   /** For an engine that is done with the request. */
   readonly goOn: (reason: string) => void;
   /** Continues a run that was stopped for a move; the copies are kept until an engine has one. */
@@ -104,7 +107,11 @@
       endAsLost('lost', reason);
     };
 
-    const recover = async (lost: StreamSegment, reason: string): Promise<void> => {
+    const recover = async (
+      lost: StreamSegment,
+      reason: string,
+      isUnreachable: boolean,
+    ): Promise<void> => {
       if (endIfHarmful(reason)) {
         return;
       }
@@ -113,6 +120,11 @@
         return;
       }
       const backup = stream.usableStandby();
+      if (isUnreachable) {
+        lost.close();
+        proceed(reason, undefined);
+        return;
+      }
       const end = await stop(lost, backup?.holder ?? stream.placeAnew());
       if (call.isEnded()) {
         return;
@@ -151,8 +163,8 @@
     };
 
     return {
-      recover: (lost, reason) => {
-        recover(lost, reason).catch((error: unknown) => {
+      recover: (lost, reason, isUnreachable = false) => {
+        recover(lost, reason, isUnreachable).catch((error: unknown) => {
           failContinuation(error, reason);
         });
       },
--- a/packages/gateway/src/stream-migration.ts
+++ b/packages/gateway/src/stream-migration.ts
@@ -1,8 +1,8 @@
 import type { FleetMember } from '@zinniagrade/serving';
 import type { Call, ServingContext } from './call.js';
 import { ContinuationCopies } from './continuation-copies.js';
-import { copyTimeoutMs, type PlannedStop } from './planned-stop.js';
-import { canSwitchOver, type HeldCopy, type Standby } from './standby.js';
+import { copyTimeoutMs, type PlannedStop, type PlannedStops } from './planned-stop.js';
+import { canRecover, canSwitchOver, type HeldCopy, type Standby } from './standby.js';
 import type { StreamSegment } from './stream-segment.js';
 import type { StreamPlacement } from './stream-placement.js';
 import type { StreamProgress } from './stream-progress.js';
@@ -15,7 +15,7 @@
   /** Sets the copy from which the stream goes on if its engine is lost. */
   readonly setStandby: (standby: Standby) => void;
   /** Stops the run; its connection stays open until the engine has confirmed that. */
-  readonly stop: (segment: StreamSegment, target: FleetMember) => Promise<PlannedStop>;
+  readonly stop: PlannedStops['stop'];
   /** Continues the stopped run from the first of the copies that an engine takes. */
   readonly continueFrom: (copies: ContinuationCopies, reason: string) => Promise<void>;
   readonly logStep: (outcome: string, member?: FleetMember, detail?: string) => void;
@@ -26,6 +26,14 @@
   readonly isCopying: () => boolean;
   /** Resolves when the stream continues elsewhere or the move has to be retried. */
   readonly move: (reason: string) => Promise<void>;
+  /**
+   * Moves a stream whose engine is silent to its backup, which may not have arrived yet; resolves
+   * with what became of the stop, undefined if none was possible.
+   */
+  readonly moveSilent: (
+    reason: string,
+    maxWaitMs: number,
+  ) => Promise<PlannedStop['kind'] | undefined>;
   /** Excludes an engine that refused to continue the run from the next copies. */
   readonly onRefused: (member: FleetMember) => void;
 }
@@ -134,19 +142,18 @@
       target: HeldCopy,
       backup: HeldCopy | undefined,
       reason: string,
-    ): Promise<void> => {
+      maxWaitMs?: number,
+    ): Promise<PlannedStop['kind']> => {
       if (context.cluster.withdrawn.has(target.holder.upstream.dataCentre)) {
         // Withdrawn while the copy was made.
-        await pause(moveRetryMs);
-        return;
+        return 'running';
       }
-      const stop = await stream.stop(source, target.holder);
+      const stop = await stream.stop(source, target.holder, maxWaitMs);
       if (stop.kind !== 'stopped') {
         if (stop.kind !== 'superseded') {
           stream.logStep('stays', source.member, stop.kind);
-          await pause(copyRetryMs);
         }
-        return;
+        return stop.kind;
       }
       if (stop.memory?.isAtTarget === false) {
         enginesWithoutRoom.add(target.holder.upstream.id);
@@ -163,6 +170,14 @@
         }),
         reason,
       );
+      return stop.kind;
+    };
+
+    /** Delays the next move of a run that stays. */
+    const pauseUnlessMoved = async (kind: PlannedStop['kind']): Promise<void> => {
+      if (kind === 'running' || kind === 'unanswered') {
+        await pause(copyRetryMs);
+      }
     };
 
     const moveByCopy = async (source: StreamSegment): Promise<void> => {
@@ -187,36 +202,52 @@
       const held: HeldCopy = { holder: target, copy };
       prepared = { source, held };
       stream.setStandby({ ...held, readyAtMs: clock.monotonicMs() });
-      await switchOver(source, held, backup, 'copied');
+      await pauseUnlessMoved(await switchOver(source, held, backup, 'copied'));
     };
 
-    const move = async (reason: string): Promise<void> => {
+    /** Does nothing if the stream is being moved already. */
+    const moveOnce = async <Moved>(
+      moveFrom: (source: StreamSegment) => Promise<Moved>,
+    ): Promise<Moved | undefined> => {
       const source = stream.segment();
       if (source === undefined || copying || call.isEnded()) {
-        return;
+        return undefined;
       }
       copying = true;
       if (prepared !== undefined && prepared.source !== source) {
         forgetPrepared();
       }
       try {
+        return await moveFrom(source);
+      } finally {
+        copying = false;
+      }
+    };
+
+    const move = (reason: string): Promise<void> =>
+      moveOnce(async (source) => {
         const standby = stream.standby();
         if (
           standby !== undefined &&
           canSwitchOver(standby, context.cluster.withdrawn, clock.monotonicMs())
         ) {
-          await switchOver(source, standby, standby, reason);
+          await pauseUnlessMoved(await switchOver(source, standby, standby, reason));
         } else {
           await moveByCopy(source);
         }
-      } finally {
-        copying = false;
-      }
-    };
+      });
 
     return {
       isCopying: () => copying,
       move,
+      moveSilent: (reason, maxWaitMs) =>
+        moveOnce(async (source) => {
+          const standby = stream.standby();
+          return standby !== undefined &&
+            canRecover(standby, context.cluster.withdrawn, clock.monotonicMs())
+            ? switchOver(source, standby, standby, reason, maxWaitMs)
+            : undefined;
+        }),
       onRefused: ({ upstream }) => {
         enginesWithoutRoom.add(upstream.id);
       },
