--- a/packages/gateway/src/node-relay.ts
+++ b/packages/gateway/src/node-relay.ts
@@ -44,8 +44,8 @@
    */
   readonly direct: (call: Call, tried: ReadonlySet<string>, unreached: number) => Direction;
   /**
-   * Passes a call on, which up to `possibleRuns` upstreams may have run. Calls `onOutcome` once, or never if the call ends before, which closes the
-   * connection to the other node.
+   * Passes on a call that up to `possibleRuns` upstreams may have run. Calls `onOutcome` once, or
+   * never if the call ends before, which closes the connection to the other node.
    */
   readonly send: (
     call: Call,
