Let features share rows of their own between nodes

Each kind of data that nodes share had its own list in the messages, the broadcast and the peers. The coming parts (usage counts, speeds, waiting requests, pace of started upstreams) share rows of a topic instead. States say in which topics a node takes part, so that a feature can rest while a node of an earlier version runs. Earlier versions ignore both fields.

--- a/packages/gateway/src/node-message.test.ts
+++ b/packages/gateway/src/node-message.test.ts
@@ -13,6 +13,7 @@
       store: 'fed',
       uses: [{ upstream: 'e', requests: 1, promptTokens: 2, memoryTokens: 3.5, copyTokens: 0 }],
       cutOff: ['app'],
+      topics: ['usage'],
     },
     { node: 'n2', incarnation: 5, sequence: 7, store: 'fed', uses: [], cutOff: [] },
     // Forwarded for a node of an earlier version.
@@ -40,6 +41,7 @@
     { node: 'n1', upstream: 'e', perSecond: 2.5, ageMs: 4, earlierSends: 3 },
     { node: 'n2', upstream: 'e', ageMs: 0, earlierSends: 0 },
   ],
+  rows: [{ node: 'n1', topic: 'usage', fields: [7, ['a', 3]] }],
   alive: ['n1', 'n2'],
   revision: 9,
 };
@@ -67,6 +69,16 @@
     expect(nodes[0]?.slice(0, 5)).to.deep.equal(['n1', 5, 7, 1, [['e', 1, 2, 3.5, 0]]]);
   });
 
+  it('is read without topics from a node that sends none', () => {
+    // Guards against features that count on data which a node of an earlier version never sends.
+    const { rows, ...earlier } = encodeNodeMessage(state) as Record<string, unknown>;
+    expect(rows).to.have.length(1);
+    const row = ['n1', 5, 7, 1, [], ['app']];
+    const read = decodeNodeMessage(overWire({ ...earlier, nodes: [row] }));
+    expect(read).to.have.property('rows').that.deep.equals([]);
+    expect(read?.kind === 'state' ? read.nodes[0] : undefined).to.not.have.property('topics');
+  });
+
   it('is ignored if any part of it is malformed', () => {
     // Guards against a message that ends the process of the node that reads it.
     const wire = encodeNodeMessage(state) as Record<string, unknown>;
@@ -76,6 +88,7 @@
       'reports',
       'findings',
       'limits',
+      'rows',
       'alive',
       'revision',
     );
@@ -90,6 +103,8 @@
     expect(decodeNodeMessage({ ...wire, nodes: [['n1', 1, 1, 9, []]] })).to.equal(undefined);
     expect(decodeNodeMessage({ ...wire, nodes: [['n1', 1, 1, 1, [], 'app']] })).to.equal(undefined);
     expect(decodeNodeMessage({ ...wire, nodes: [['n1', 1, 1, 1, [], [7]]] })).to.equal(undefined);
+    expect(decodeNodeMessage({ ...wire, nodes: [['n1', 1, 1, 1, [], [], 7]] })).to.equal(undefined);
+    expect(decodeNodeMessage({ ...wire, rows: [['n1', 'usage', 7]] })).to.equal(undefined);
     expect(decodeNodeMessage({ ...wire, revision: '1' })).to.equal(undefined);
     expect(decodeNodeMessage(null)).to.equal(undefined);
     expect(decodeNodeMessage({ kind: 'other' })).to.equal(undefined);
--- a/packages/gateway/src/node-message.ts
+++ b/packages/gateway/src/node-message.ts
@@ -40,6 +40,11 @@
    * doesn't tell, and for all that a relay of such a version forwards.
    */
   readonly cutOff?: readonly string[];
+  /**
+   * Topics that the node takes part in, see `PeerTopic`. Undefined for a node of an earlier version,
+   * and for all that a relay of such a version forwards.
+   */
+  readonly topics?: readonly string[];
 }
 
 /** An engine's load, read `ageMs` ago. */
@@ -68,12 +73,20 @@
   readonly node: string;
 }
 
+/** A row of a topic, see `PeerTopic`. */
+export interface SharedRow {
+  readonly node: string;
+  readonly topic: string;
+  readonly fields: readonly unknown[];
+}
+
 /** Updates that are forwarded once, each with the node that it comes from. */
 export interface SharedUpdates {
   readonly loads: readonly SharedLoad[];
   readonly reports: readonly SharedReport[];
   readonly findings: readonly SharedFinding[];
   readonly limits: readonly SharedLimit[];
+  readonly rows: readonly SharedRow[];
 }
 
 /** A message between nodes. */
@@ -175,7 +188,7 @@
 };
 
 const toState = (value: unknown): NodeState => {
-  const [node, incarnation, sequence, access, uses, cutOff] = toRow(value);
+  const [node, incarnation, sequence, access, uses, cutOff, topics] = toRow(value);
   const store = storeAccesses[toNumber(access)];
   if (store === undefined) {
     throw new MalformedMessage('unknown store access');
@@ -187,6 +200,7 @@
     store,
     uses: toRow(uses).map(toUse),
     ...(cutOff === undefined ? {} : { cutOff: toRow(cutOff).map(toText) }),
+    ...(topics === undefined ? {} : { topics: toRow(topics).map(toText) }),
   };
 };
 
@@ -244,6 +258,11 @@
   };
 };
 
+const toSharedRow = (value: unknown): SharedRow => {
+  const [node, topic, fields] = toRow(value);
+  return { node: toText(node), topic: toText(topic), fields: toRow(fields) };
+};
+
 const toStateMessage = (fields: Readonly<Record<string, unknown>>): NodeMessage => ({
   kind: 'state',
   nodes: toRow(fields.nodes).map(toState),
@@ -252,6 +271,7 @@
   // Nodes of an earlier version send none.
   findings: toRow(fields.findings ?? []).map(toFinding),
   limits: toRow(fields.limits ?? []).map(toLimit),
+  rows: toRow(fields.rows ?? []).map(toSharedRow),
   ...(fields.alive === undefined ? {} : { alive: toRow(fields.alive).map(toText) }),
   revision: toNumber(fields.revision),
   ...(fields.digest === undefined ? {} : { digest: toNumber(fields.digest) }),
@@ -281,7 +301,7 @@
   message.kind === 'state'
     ? {
         ...message,
-        nodes: message.nodes.map(({ node, incarnation, sequence, store, uses, cutOff }) => [
+        nodes: message.nodes.map(({ node, incarnation, sequence, store, uses, cutOff, topics }) => [
           node,
           incarnation,
           sequence,
@@ -294,6 +314,8 @@
             use.copyTokens,
           ]),
           ...(cutOff === undefined ? [] : [cutOff]),
+          // The place after the services stays empty only if there are none of these either.
+          ...(cutOff === undefined || topics === undefined ? [] : [topics]),
         ]),
         loads: message.loads.map(({ node, upstream, ageMs, load }) => [
           node,
@@ -319,6 +341,7 @@
           ageMs,
           earlierSends,
         ]),
+        rows: message.rows.map(({ node, topic, fields }) => [node, topic, fields]),
       }
     : message;
 
--- a/packages/gateway/src/node-peers.ts
+++ b/packages/gateway/src/node-peers.ts
@@ -15,6 +15,7 @@
 import { DivergenceCheck } from './divergence-check.js';
 import type { Log } from './log.js';
 import { PeerBroadcast } from './peer-broadcast.js';
+import { PeerTopics, type PeerTopic, type RowFields } from './peer-topics.js';
 import { NodeLinks } from './node-links.js';
 import type { KeyFinding } from './request-guard.js';
 import type { LimitFinding } from './stated-limits.js';
@@ -59,6 +60,10 @@
   readonly shareReport: (service: string, report: RolloutReport) => void;
   readonly shareFinding: (finding: KeyFinding) => void;
   readonly shareLimit: (finding: LimitFinding) => void;
+  /** Takes part in a topic; returns a function that shares a row of this node with all others. */
+  readonly openTopic: (topic: PeerTopic) => (fields: RowFields) => void;
+  /** Whether all nodes from which messages arrive take part in a topic. */
+  readonly isSharedByAll: (topic: string) => boolean;
   /**
    * Delay before this node acts on an event that all nodes learn of at once, so that nodes act in
    * turn.
@@ -154,6 +159,10 @@
       return uses;
     };
 
+    const topics = PeerTopics.create(({ node, topic }) => {
+      log.event('row of a topic is invalid', { of: node, topic });
+    });
+
     const linkedNodes = (): readonly string[] => links?.connected() ?? [];
     const send = (nodes: readonly string[], message: NodeMessage): void => {
       links?.send(nodes, message);
@@ -181,7 +190,11 @@
       findings: options.findings,
       onLimit: options.onLimit,
       limits: options.limits,
-      onNodeLost: peerUse.forget,
+      topics,
+      onNodeLost: (node) => {
+        peerUse.forget(node);
+        topics.onNodeLost(node);
+      },
     });
 
     const isRelay = (): boolean => !topology().isMesh && topology().relays.includes(self.node);
@@ -325,6 +338,23 @@
         broadcast.shareLimit(finding);
         scheduleFlush();
       },
+      openTopic: (topic) => {
+        topics.open(topic);
+        broadcast.markStateChanged();
+        return (fields) => {
+          broadcast.shareRow(topic.name, fields);
+          scheduleFlush();
+        };
+      },
+      isSharedByAll: (topic) => {
+        const states = broadcast.states();
+        for (const node of broadcast.aliveNodes()) {
+          if (states.get(node)?.topics?.includes(topic) !== true) {
+            return false;
+          }
+        }
+        return true;
+      },
       turnDelayMs: () => {
         let precedingNodes = 0;
         for (const node of broadcast.aliveNodes()) {
--- a/packages/gateway/src/peer-broadcast.test.ts
+++ b/packages/gateway/src/peer-broadcast.test.ts
@@ -1,6 +1,7 @@
 import { Topology, type TopologyNode } from '@zinniagrade/serving';
 import { expect } from 'chai';
 import { PeerBroadcast } from './peer-broadcast.js';
+import { PeerTopics } from './peer-topics.js';
 import type { NodeMessage } from './node-message.js';
 
 /** Nodes linked as their topology requires, with synchronous delivery of messages. */
@@ -9,6 +10,8 @@
   readonly exchangeOf: (node: string) => PeerBroadcast;
   /** Memory tokens that `from` uses at the engine `e`, as known to `node`. */
   readonly memoryTokensKnownTo: (node: string, from: string) => number | undefined;
+  /** Row of the topic `colour` that `node` last got from `from`. */
+  readonly colourKnownTo: (node: string, from: string) => string | undefined;
   readonly setMemoryTokens: (node: string, memoryTokens: number) => void;
   /** Sets the services of which the node reaches no upstream. */
   readonly setCutOff: (node: string, services: readonly string[]) => void;
@@ -35,6 +38,7 @@
   const memoryTokensByPair = new Map<string, number>();
   const uses = new Map<string, number>();
   const cutOff = new Map<string, readonly string[]>();
+  const colours = new Map<string, string>();
   const sent = new Map<string, number>();
   const dead = new Set<string>();
   let statesSent = 0;
@@ -64,6 +68,15 @@
   };
 
   for (const { node, dataCentre } of places) {
+    const topics = PeerTopics.create(() => undefined);
+    topics.open({
+      name: 'colour',
+      receive: (from, [colour]) => {
+        colours.set(`${node} ${from}`, String(colour));
+        return true;
+      },
+      snapshot: () => [['snapshot']],
+    });
     exchanges.set(
       node,
       PeerBroadcast.create({
@@ -99,6 +112,7 @@
         findings: () => [],
         onLimit: () => undefined,
         limits: () => [],
+        topics,
         onNodeLost: (gone) => {
           memoryTokensByPair.delete(`${node} ${gone}`);
         },
@@ -118,6 +132,7 @@
     names,
     exchangeOf,
     memoryTokensKnownTo: (node, from) => memoryTokensByPair.get(`${node} ${from}`),
+    colourKnownTo: (node, from) => colours.get(`${node} ${from}`),
     setMemoryTokens: (node, memoryTokens) => {
       uses.set(node, memoryTokens);
       exchangeOf(node).markStateChanged();
@@ -178,6 +193,19 @@
       }
     });
 
+    it('delivers a row of a topic to all other nodes', () => {
+      // Guards against nodes behind relays that miss what others share.
+      const network = createNetwork(count, dataCentres);
+      network.sendHeartbeats();
+      network.exchangeOf('n05').shareRow('colour', ['red']);
+      network.exchangeOf('n05').shareRow('unknown topic', []);
+      network.flushAll();
+      for (const node of network.names) {
+        const expected = node === 'n05' ? undefined : 'red';
+        expect(network.colourKnownTo(node, 'n05'), node).to.equal(expected);
+      }
+    });
+
     it('counts all nodes as alive, also those without a direct connection', () => {
       // Guards against a directory that lists only directly connected nodes.
       const network = createNetwork(count, dataCentres);
@@ -211,6 +239,13 @@
 }
 
 describe('peer broadcast via relays', () => {
+  it('sends the rows of a relay to a node that joins', () => {
+    // Guards against nodes that know nothing of a topic until its data changes.
+    const network = createNetwork(40, 4);
+    network.sendHeartbeats();
+    expect(network.colourKnownTo('n39', 'n03')).to.equal('snapshot');
+  });
+
   it('sends one message for each change of a node that is not a relay', () => {
     // Guards against 87 nodes that each send every change to all others.
     const network = createNetwork(87, 4);
--- a/packages/gateway/src/peer-broadcast.ts
+++ b/packages/gateway/src/peer-broadcast.ts
@@ -8,6 +8,7 @@
 import type { KeyFinding } from './request-guard.js';
 import type { LimitFinding } from './stated-limits.js';
 import { createAudiences, type Audience } from './peer-audiences.js';
+import type { PeerTopics, RowFields } from './peer-topics.js';
 import type {
   NodeMessage,
   NodeState,
@@ -47,6 +48,7 @@
   readonly onLimit: (finding: LimitFinding) => void;
   /** Limits of upstreams for a node that has none yet. */
   readonly limits: () => readonly LimitFinding[];
+  readonly topics: PeerTopics;
   /** Called for a node from which messages no longer arrive, directly or via a relay. */
   readonly onNodeLost: (node: string) => void;
 }
@@ -63,6 +65,7 @@
   readonly shareReport: (service: string, report: RolloutReport) => void;
   readonly shareFinding: (finding: KeyFinding) => void;
   readonly shareLimit: (finding: LimitFinding) => void;
+  readonly shareRow: (topic: string, fields: RowFields) => void;
   readonly receive: (from: string, message: Extract<NodeMessage, { kind: 'state' }>) => void;
   readonly onLinkOpen: (node: string) => void;
   readonly onLinkLost: (node: string) => void;
@@ -122,6 +125,7 @@
         store: announcedAccess,
         uses: options.ownUses(),
         cutOff: options.cutOffServices(),
+        topics: options.topics.names(),
       };
     };
 
@@ -181,6 +185,7 @@
         ...noUpdates,
         findings: options.findings().map(ownFinding),
         limits: options.limits().map((limit) => ({ ...limit, node: options.node })),
+        rows: options.topics.snapshot(options.node),
       };
       sendState(added, statesOf(states.keys(), wants), updates, list);
       for (const node of added) {
@@ -234,7 +239,7 @@
       pending = mergeUpdates(pending, { ...noUpdates, ...updates });
     };
 
-    const applyUpdates = ({ loads, reports, findings, limits }: SharedUpdates): void => {
+    const applyUpdates = ({ loads, reports, findings, limits, rows }: SharedUpdates): void => {
       for (const { upstream, load, ageMs } of loads) {
         options.onLoad(upstream, load, options.nowMs() - ageMs);
       }
@@ -247,6 +252,9 @@
       for (const limit of limits) {
         options.onLimit(limit);
       }
+      for (const row of rows) {
+        options.topics.receive(row);
+      }
     };
 
     const acceptState = (state: NodeState): void => {
@@ -289,6 +297,9 @@
       shareLimit: (finding) => {
         share({ limits: [{ ...finding, node: options.node }] });
       },
+      shareRow: (topic, fields) => {
+        share({ rows: [{ node: options.node, topic, fields }] });
+      },
       receive: (from, message) => {
         for (const state of message.nodes) {
           acceptState(state);
--- a/packages/gateway/src/shared-updates.ts
+++ b/packages/gateway/src/shared-updates.ts
@@ -1,10 +1,16 @@
 import type { SharedUpdates } from './node-message.js';
 
-export const noUpdates: SharedUpdates = { loads: [], reports: [], findings: [], limits: [] };
+export const noUpdates: SharedUpdates = {
+  loads: [],
+  reports: [],
+  findings: [],
+  limits: [],
+  rows: [],
+};
 
 /** Number of updates of all kinds. */
-export const countUpdates = ({ loads, reports, findings, limits }: SharedUpdates): number =>
-  loads.length + reports.length + findings.length + limits.length;
+export const countUpdates = ({ loads, reports, findings, limits, rows }: SharedUpdates): number =>
+  loads.length + reports.length + findings.length + limits.length + rows.length;
 
 /** The updates of those nodes for which `wants` is true. */
 export const updatesFrom = (
@@ -15,6 +21,7 @@
   reports: updates.reports.filter(({ node }) => wants(node)),
   findings: updates.findings.filter(({ node }) => wants(node)),
   limits: updates.limits.filter(({ node }) => wants(node)),
+  rows: updates.rows.filter(({ node }) => wants(node)),
 });
 
 export const mergeUpdates = (first: SharedUpdates, second: SharedUpdates): SharedUpdates => ({
@@ -22,4 +29,5 @@
   reports: [...first.reports, ...second.reports],
   findings: [...first.findings, ...second.findings],
   limits: [...first.limits, ...second.limits],
+  rows: [...first.rows, ...second.rows],
 });
