--- a/packages/gateway/src/silent-engine.test.ts
+++ b/packages/gateway/src/silent-engine.test.ts
@@ -106,7 +106,7 @@
     // Guards against a sound stream that is closed, and against a stop that is asked for twice at once.
     const silence = { stop: 'running', stopAfterMs: 300, listsRuns: true } as const;
     const { stopsAtMs, recoveries } = await watchSilentEngine(silence);
-    expect(stopsAtMs).to.deep.equal([1500, 2000]);
+    expect(stopsAtMs).to.deep.equal([1400, 1900, 2400]);
     expect(recoveries).to.deep.equal([]);
   });
 
@@ -114,15 +114,15 @@
     // Guards against a second wait for a lost engine, which outlasts its caller's patience.
     const silence = { stop: 'unanswered', stopAfterMs: 300, listsRuns: false } as const;
     const { recoveries } = await watchSilentEngine(silence);
-    expect(recoveries).to.deep.equal([[1800, true]]);
+    expect(recoveries).to.deep.equal([[1700, true]]);
   });
 
   it('waits for the word of an engine that may still be reached', async () => {
     // Guards against a run that goes on at two engines, as its engine was taken for lost too early.
     const slow = { stop: 'unanswered', stopAfterMs: 300, listsRuns: true } as const;
-    expect((await watchSilentEngine(slow)).recoveries).to.deep.equal([[1800, false]]);
+    expect((await watchSilentEngine(slow)).recoveries).to.deep.equal([[1700, false]]);
     const refused = { stop: 'unanswered', stopAfterMs: 50, listsRuns: false } as const;
-    expect((await watchSilentEngine(refused)).recoveries).to.deep.equal([[1550, false]]);
+    expect((await watchSilentEngine(refused)).recoveries).to.deep.equal([[1450, false]]);
   });
 
   it('leaves a stream alone that has an event again before its stop is answered', async () => {
@@ -131,7 +131,7 @@
       stop: 'unanswered',
       stopAfterMs: 300,
       listsRuns: true,
-      resumesAtMs: 1600,
+      resumesAtMs: 1500,
     } as const;
     expect((await watchSilentEngine(silence)).recoveries).to.deep.equal([]);
   });
@@ -142,15 +142,15 @@
     const reachable = await watchSilentEngine({ ...moving, listsRuns: true });
     expect(reachable).to.deep.equal({ stopsAtMs: [], recoveries: [] });
     const lost = await watchSilentEngine({ ...moving, listsRuns: false });
-    expect(lost).to.deep.equal({ stopsAtMs: [], recoveries: [[1800, true]] });
+    expect(lost).to.deep.equal({ stopsAtMs: [], recoveries: [[1700, true]] });
   });
 
   it('takes a stream away at once that runs again elsewhere, or whose engine has no moves', async () => {
     // Guards against a longer wait for streams that have no copy to lose.
     const unused = { stop: 'stopped', stopAfterMs: 0, listsRuns: true } as const;
     const again = await watchSilentEngine({ ...unused, recovery: 'run-again' });
-    expect(again).to.deep.equal({ stopsAtMs: [], recoveries: [[1250, false]] });
+    expect(again).to.deep.equal({ stopsAtMs: [], recoveries: [[1000, false]] });
     const immovable = await watchSilentEngine({ ...unused, movable: false });
-    expect(immovable).to.deep.equal({ stopsAtMs: [], recoveries: [[1500, false]] });
+    expect(immovable).to.deep.equal({ stopsAtMs: [], recoveries: [[1400, false]] });
   });
 });
