Share what nodes measure of upstreams

At one generation in two seconds a node knows the speed of few of 34 engines. Nodes now share their own observations of the time per prompt token, the latency of calls and the share of failures on the topic speeds, at most once a second and at most 80 figures a second in all. Figures are merged by number of observations and age, and approach the typical value as they age. Without other nodes the share of a new observation is as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,6 +30,7 @@
 import { Rollouts } from './rollouts.js';
 import { RouteDurations } from './route-durations.js';
 import { serveCall } from './serve-call.js';
+import { SharedSpeeds } from './shared-speeds.js';
 import { ServiceReach, type WatchedReach } from './service-reach.js';
 import { ServiceRecords } from './service-records.js';
 import type { GatewaySettings } from './settings.js';
@@ -128,6 +129,11 @@
       share: peers.shareLimit,
     });
 
+    const sharedSpeeds = SharedSpeeds.create(clock, log, metrics, cluster.fleet, {
+      nodeCount: () => Math.max(1, cluster.nodes.size),
+      openTopic: peers.openTopic,
+    });
+
     const quarantineEntries = QuarantineEntries.create(store, platform.quarantineEntryKey);
     const guard: RequestGuard = RequestGuard.create(clock, log, {
       node: settings.node,
@@ -455,6 +461,7 @@
         memory.stop();
         unread.stop();
         loadPolling.stop();
+        sharedSpeeds.stop();
         rollouts.stop();
         watchedReach.stop();
         peers.close();
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -118,7 +118,9 @@
     };
 
     const recordOutcome = (endedSegment: StreamSegment, tookMs: number, failed: boolean): void => {
-      recordAnswer(endedSegment.member, tookMs, failed);
+      // How long a stream takes says little of its engine, and a failure may be one of the network.
+      const answer = { latencyMs: tookMs, failed, isOfUpstream: false };
+      recordAnswer(endedSegment.member, answer, clock.monotonicMs());
       context.rollouts.recordOutcome(endedSegment.member, route.name, failed);
     };
 
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -70,8 +70,13 @@
     });
   };
 
-  const recordOutcome = (member: FleetMember, latencyMs: number, failed: boolean): void => {
-    recordAnswer(member, latencyMs, failed);
+  const recordOutcome = (
+    member: FleetMember,
+    latencyMs: number,
+    failed: boolean,
+    isOfUpstream = true,
+  ): void => {
+    recordAnswer(member, { latencyMs, failed, isOfUpstream }, clock.monotonicMs());
     context.rollouts.recordOutcome(member, route.name, failed);
   };
 
@@ -201,7 +206,7 @@
   };
 
   const onFailure = (member: FleetMember, failure: ExchangeFailure, sentAtMs: number): void => {
-    recordOutcome(member, 0, true);
+    recordOutcome(member, 0, true, false);
     logAttempt(
       failure.possiblySent ? 'connection lost' : 'request not sent',
       member,
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -144,7 +144,7 @@
       firstEventAtMs = clock.monotonicMs();
       run.hasBegun = true;
       if (copy === undefined) {
-        recordFirstEvent(member, firstEventAtMs - sentAtMs, queuedPromptTokens);
+        recordFirstEvent(member, firstEventAtMs - sentAtMs, queuedPromptTokens, firstEventAtMs);
       }
       context.onUseChanged();
     };
--- a/packages/serving/src/fleet.ts
+++ b/packages/serving/src/fleet.ts
@@ -1,6 +1,8 @@
 import { LRUCache } from 'lru-cache';
 import { recordColdSend } from './cold-limit.js';
+import { agedValue, type Figure, type FigureKind } from './figure.js';
 import { StatedLimit } from './stated-limit.js';
+import { UpstreamFigures } from './upstream-figures.js';
 import type { EngineLoad, ServiceLoad, Upstream } from './upstream.js';
 
 /** A request that this node has in flight at an upstream, or a backup copy of one. */
@@ -28,6 +30,8 @@
   engineLoadAtMs: number;
   serviceLoad?: ServiceLoad | undefined;
   serviceLoadAtMs: number;
+  /** What this node and others have measured; the next three follow from it. */
+  readonly figures: UpstreamFigures;
   /** Smoothed time to the first event per queued prompt token; 0 until one is measured. */
   msPerPromptToken: number;
   /** Smoothed latency of successful responses, in milliseconds; 0 until one is measured. */
@@ -69,13 +73,6 @@
   readonly sweep: () => readonly string[];
 }
 
-/**
- * Smoothing weight of a new time to first event; high, as a cold engine warms up within seconds.
- */
-const firstEventWeight = 0.4;
-/** Smoothing weight of a new response. */
-const newestAnswerWeight = 0.2;
-
 /** Upstreams whose registration may lapse and come back, as after an outage of the store. */
 const maxRemovedMembers = 256;
 
@@ -85,6 +82,7 @@
   ownRuns: new Map(),
   engineLoadAtMs: 0,
   serviceLoadAtMs: 0,
+  figures: UpstreamFigures.create(),
   latencyMs: 0,
   msPerPromptToken: 0,
   failureShare: 0,
@@ -144,6 +142,8 @@
         if (upstream.bornAtMs !== known.upstream.bornAtMs) {
           known.statesLeaving = false;
           known.waitUntilMs = 0;
+          known.figures.reset(nowMs);
+          applyFigures(known, nowMs);
         }
         known.upstream = upstream;
         known.registeredAtMs = nowMs;
@@ -207,16 +207,29 @@
   );
 };
 
+/** Sets what decisions read to what has been measured. */
+const applyFigures = (member: FleetMember, nowMs: number): void => {
+  member.msPerPromptToken = member.figures.figure('msPerPromptToken')?.value ?? 0;
+  member.latencyMs = member.figures.figure('latencyMs')?.value ?? 0;
+  member.failureShare = agedValue(member.figures.figure('failureShare'), 0, nowMs);
+};
+
+/** A response as the node that sent the request has seen it. */
+export interface ObservedAnswer {
+  readonly latencyMs: number;
+  readonly failed: boolean;
+  /** Whether the upstream itself has answered; a lost connection may be due to the node's network. */
+  readonly isOfUpstream: boolean;
+}
+
 /** Updates the smoothed latency and failure share with one response. */
-export const recordAnswer = (member: FleetMember, latencyMs: number, failed: boolean): void => {
-  member.failureShare += newestAnswerWeight * ((failed ? 1 : 0) - member.failureShare);
-  if (failed) {
-    return;
+export const recordAnswer = (member: FleetMember, answer: ObservedAnswer, nowMs: number): void => {
+  const { latencyMs, failed, isOfUpstream } = answer;
+  member.figures.observe('failureShare', failed ? 1 : 0, nowMs, isOfUpstream);
+  if (!failed) {
+    member.figures.observe('latencyMs', latencyMs, nowMs, isOfUpstream);
   }
-  member.latencyMs =
-    member.latencyMs === 0
-      ? latencyMs
-      : member.latencyMs + newestAnswerWeight * (latencyMs - member.latencyMs);
+  applyFigures(member, nowMs);
 };
 
 /** Updates the smoothed time per prompt token, from which times to first event are predicted. */
@@ -224,13 +237,53 @@
   member: FleetMember,
   tookMs: number,
   tokensAhead: number,
+  nowMs: number,
+): void => {
+  if (tokensAhead > 0) {
+    member.figures.observe('msPerPromptToken', tookMs / tokensAhead, nowMs, true);
+    applyFigures(member, nowMs);
+  }
+};
+
+/** Adds what another node has measured; `isMerged` if that node passes on what many have. */
+export const receiveFigure = (
+  member: FleetMember,
+  kind: FigureKind,
+  figure: Figure,
+  isMerged: boolean,
+  nowMs: number,
 ): void => {
-  if (tokensAhead <= 0) {
-    return;
+  if (isMerged) {
+    member.figures.adopt(kind, figure, nowMs);
+  } else {
+    member.figures.receive(kind, figure, nowMs);
+  }
+  applyFigures(member, nowMs);
+};
+
+/** Mean of the figures of a kind, without those that are not measured; 0 if none is. */
+const meanFigure = (members: readonly FleetMember[], kind: FigureKind): number => {
+  let sum = 0;
+  let measured = 0;
+  for (const { figures } of members) {
+    const figure = figures.figure(kind);
+    sum += figure?.value ?? 0;
+    measured += figure === undefined ? 0 : 1;
+  }
+  return sum / Math.max(1, measured);
+};
+
+/** Sets what decisions read of the upstreams of one service to their figures at this age. */
+export const ageFigures = (members: readonly FleetMember[], nowMs: number): void => {
+  const typicalMsPerToken = meanFigure(members, 'msPerPromptToken');
+  const typicalLatencyMs = meanFigure(members, 'latencyMs');
+  for (const member of members) {
+    const { figures } = member;
+    const msPerToken = figures.figure('msPerPromptToken');
+    const latency = figures.figure('latencyMs');
+    member.msPerPromptToken =
+      msPerToken === undefined ? 0 : agedValue(msPerToken, typicalMsPerToken, nowMs);
+    member.latencyMs = latency === undefined ? 0 : agedValue(latency, typicalLatencyMs, nowMs);
+    member.failureShare = agedValue(figures.figure('failureShare'), 0, nowMs);
   }
-  const observed = tookMs / tokensAhead;
-  member.msPerPromptToken =
-    member.msPerPromptToken === 0
-      ? observed
-      : member.msPerPromptToken + firstEventWeight * (observed - member.msPerPromptToken);
 };
