Choose plain upstreams by the load that they state, and hedge by their expected answer time

The load header has a fourth figure, how long work takes now. placeCall uses it, and the stated requests that no node has announced, as long as they are worth something; nodes tell each other of loads that differ much from what was shared last, at most four a second for each upstream over time. The latency figure is now that of the work alone, so that a queue doesn't count twice. No hedge goes to an upstream without a free slot, and hedges wait longer where answers are expected late.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -15,6 +15,7 @@
 import type { Rollouts } from './rollouts.js';
 import type { ServiceReach } from './service-reach.js';
 import type { ServiceRecord } from './service-records.js';
+import type { SharedLoads } from './shared-loads.js';
 import type { UnreadResponses } from './unread-responses.js';
 import type { UpstreamClient } from './upstream-client.js';
 import type { UpstreamStatements } from './upstream-statements.js';
@@ -50,6 +51,8 @@
   readonly guard: RequestGuard;
   /** Requests and memory that other nodes use at an upstream. */
   readonly peerUse: (upstream: string) => UpstreamUse;
+  /** Loads that plain upstreams state in their responses. */
+  readonly serviceLoads: Pick<SharedLoads, 'onStated'>;
   /** Placements of a service by other nodes that this node does not know of yet. */
   readonly unknownPlacements: (service: string) => number;
   /** To be called after the set of this node's requests at upstreams has changed. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,6 +30,7 @@
 import { Rollouts } from './rollouts.js';
 import { RouteDurations } from './route-durations.js';
 import { serveCall } from './serve-call.js';
+import { SharedLoads } from './shared-loads.js';
 import { SharedSpeeds } from './shared-speeds.js';
 import { ServiceReach, type WatchedReach } from './service-reach.js';
 import { ServiceRecords } from './service-records.js';
@@ -133,6 +134,11 @@
       nodeCount: () => Math.max(1, cluster.nodes.size),
       openTopic: peers.openTopic,
     });
+    const serviceLoads = SharedLoads.create(clock, metrics, cluster.fleet, {
+      nodeCount: () => Math.max(1, cluster.nodes.size),
+      peerUse: peers.peerUse,
+      openTopic: peers.openTopic,
+    });
 
     const quarantineEntries = QuarantineEntries.create(store, platform.quarantineEntryKey);
     const guard: RequestGuard = RequestGuard.create(clock, log, {
@@ -233,6 +239,7 @@
       rollouts,
       guard,
       peerUse: peers.peerUse,
+      serviceLoads,
       unknownPlacements: (service) =>
         serviceRecords
           .get(service)
@@ -462,6 +469,7 @@
         unread.stop();
         loadPolling.stop();
         sharedSpeeds.stop();
+        serviceLoads.stop();
         rollouts.stop();
         watchedReach.stop();
         peers.close();
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -1,9 +1,14 @@
 import { Failure } from '@zinniagrade/errors';
 import {
+  expectedAnswerMs,
+  hedgeDelayMs,
+  isFull,
   isTruncatedStream,
+  occupancy,
   recordSend,
   placeCall,
   recordAnswer,
+  workTimeMs,
   type PlacementConstraints,
   type FleetMember,
 } from '@zinniagrade/serving';
@@ -16,10 +21,6 @@
 
 /** Time for which an upstream is not chosen after a connection to it has failed. */
 const avoidAfterFailureMs = 500;
-/**
- * Share of the latency objective after which an idempotent request is hedged (sent a second time).
- */
-const hedgeDelayGoalShare = 0.55;
 /** A request is sent to another upstream after up to this many refusals. */
 const maxRefusals = 3;
 /** Retry delay for callers: a full upstream has a free slot again after about this time. */
@@ -31,6 +32,12 @@
   readonly member: FleetMember;
 }
 
+/** When a request was sent, and the occupancy of its upstream before. */
+interface SendTime {
+  readonly sentAtMs: number;
+  readonly occupancy: number;
+}
+
 /**
  * Serves a request whose response is buffered. Idempotent requests are retried after failures and
  * hedged while the first attempt is slow; all others are retried only if they cannot have run.
@@ -48,13 +55,19 @@
   let sends = 0;
   let refusals = 0;
   let hedged = false;
+  /** Expected time to the answer at the first upstream, if it is known. */
+  let expectedMs: number | undefined;
   let failedResponse: NodeResponse | undefined;
 
-  const choice = (): PlacementConstraints => ({
+  /** A hedge would wait at an upstream without a free slot, and add to what makes others late. */
+  const choice = (isHedge = false): PlacementConstraints => ({
     nowMs: clock.monotonicMs(),
     excludedUpstreams: excluded,
     withdrawnDataCentres: context.cluster.withdrawn,
-    allows: (member) => context.isWithinRateLimits(member) && call.allowsVersionOf(member),
+    allows: (member) =>
+      context.isWithinRateLimits(member) &&
+      call.allowsVersionOf(member) &&
+      !(isHedge && isFull(member, context.peerUse, clock.monotonicMs())),
     peerUse: context.peerUse,
     unknownPlacements: context.unknownPlacements(service.name),
   });
@@ -70,13 +83,18 @@
     });
   };
 
+  const choose = (isHedge: boolean): FleetMember | undefined =>
+    placeCall(context.cluster.fleet.ofService(service.name), choice(isHedge), context.random);
+
   const recordOutcome = (
     member: FleetMember,
-    latencyMs: number,
+    sent: SendTime,
     failed: boolean,
     isOfUpstream = true,
   ): void => {
-    recordAnswer(member, { latencyMs, failed, isOfUpstream }, clock.monotonicMs());
+    const nowMs = clock.monotonicMs();
+    const latencyMs = workTimeMs(member, nowMs - sent.sentAtMs, sent.occupancy, nowMs);
+    recordAnswer(member, { latencyMs, failed, isOfUpstream }, nowMs);
     context.rollouts.recordOutcome(member, route.name, failed);
   };
 
@@ -155,13 +173,8 @@
     member: FleetMember,
     head: ResponseHead,
     body: Buffer,
-    sentAtMs: number,
+    sent: SendTime,
   ): void => {
-    const latencyMs = clock.monotonicMs() - sentAtMs;
-    if (head.load !== undefined) {
-      member.serviceLoad = head.load;
-      member.serviceLoadAtMs = clock.monotonicMs();
-    }
     if (head.closesConnection && head.status === 503) {
       member.avoidUntilMs = clock.monotonicMs() + avoidAfterFailureMs;
     }
@@ -173,7 +186,7 @@
     }
     possibleRuns += 1;
     if (!head.matchesRequest || !head.sealed) {
-      recordOutcome(member, latencyMs, true);
+      recordOutcome(member, sent, true);
       logAttempt(
         head.matchesRequest ? 'response without seal' : 'response to another request',
         member,
@@ -183,14 +196,14 @@
       return;
     }
     if (route.kind === 'streaming' && head.status === 200 && isTruncatedStream(body)) {
-      recordOutcome(member, latencyMs, true);
+      recordOutcome(member, sent, true);
       logAttempt('stream ended inside an event', member, head.status);
-      context.guard.onEarlyLoss(call, member.upstream.id, sentAtMs);
+      context.guard.onEarlyLoss(call, member.upstream.id, sent.sentAtMs);
       retryOrEnd(true);
       return;
     }
     const failed = head.status >= 500;
-    recordOutcome(member, latencyMs, failed);
+    recordOutcome(member, sent, failed);
     if (failed && idempotent) {
       failedResponse = { head, body };
       logAttempt('upstream error', member, head.status);
@@ -205,8 +218,8 @@
     call.finish(failed ? 'upstream-error' : 'complete');
   };
 
-  const onFailure = (member: FleetMember, failure: ExchangeFailure, sentAtMs: number): void => {
-    recordOutcome(member, 0, true, false);
+  const onFailure = (member: FleetMember, failure: ExchangeFailure, sent: SendTime): void => {
+    recordOutcome(member, sent, true, false);
     logAttempt(
       failure.possiblySent ? 'connection lost' : 'request not sent',
       member,
@@ -221,12 +234,12 @@
       refusals += 1;
     } else {
       possibleRuns += 1;
-      context.guard.onEarlyLoss(call, member.upstream.id, sentAtMs);
+      context.guard.onEarlyLoss(call, member.upstream.id, sent.sentAtMs);
     }
     retryOrEnd(failure.possiblySent);
   };
 
-  const send = (): void => {
+  const send = (isHedge = false): void => {
     const refusal = context.guard.refusal(call);
     if (refusal !== undefined) {
       endUnlessInFlight(refusal);
@@ -235,17 +248,15 @@
     if (relayed.passOn(possibleRuns + attempts.size)) {
       return;
     }
-    const member = placeCall(
-      context.cluster.fleet.ofService(service.name),
-      choice(),
-      context.random,
-    );
+    const member = choose(isHedge);
     if (member === undefined) {
       endUnlessInFlight();
       return;
     }
     const { upstream } = member;
     const sentAtMs = clock.monotonicMs();
+    const sent = { sentAtMs, occupancy: occupancy(member, context.peerUse, sentAtMs) };
+    expectedMs ??= expectedAnswerMs(member, context.peerUse, sentAtMs);
     excluded.add(upstream.id);
     placements.record(sentAtMs);
     sends += 1;
@@ -284,7 +295,7 @@
       release();
       body.release();
       if (!call.isEnded()) {
-        onFailure(member, failure, sentAtMs);
+        onFailure(member, failure, sent);
       }
     };
     const exchange = context.client.send(
@@ -299,6 +310,9 @@
         onHead: (head) => {
           responseHead = head;
           context.statements.onResponse(member, head, sentAtMs);
+          if (head.load !== undefined) {
+            context.serviceLoads.onStated(member, head.load);
+          }
         },
         onData: (bytes) => {
           if (!body.add(bytes)) {
@@ -324,7 +338,7 @@
           const received = body.toBuffer();
           body.release();
           if (!call.isEnded() && responseHead !== undefined) {
-            onResponse(member, responseHead, received, sentAtMs);
+            onResponse(member, responseHead, received, sent);
           }
         },
         onFailure: onExchangeFailure,
@@ -355,10 +369,14 @@
     if (!context.guard.allowsRepeat(call)) {
       return;
     }
+    if (!relayed.canPassOn() && choose(true) === undefined) {
+      metrics.countDecision('hedge-without-room');
+      return;
+    }
     if (budget.tryTakeRetry(clock.monotonicMs(), context.nodeCount())) {
       hedged = true;
       metrics.countDecision('hedge');
-      send();
+      send(true);
     }
   };
 
@@ -384,7 +402,7 @@
   send();
   if (idempotent && !call.isEnded()) {
     // Once more where it turns out later that the node is cut off, and then at another node.
-    const cancelHedge = clock.every(route.goalMs * hedgeDelayGoalShare, hedge);
+    const cancelHedge = clock.every(hedgeDelayMs(route.goalMs, expectedMs), hedge);
     call.onEnded(cancelHedge);
   }
   call.deadline.onReached(() => {
--- a/packages/serving/src/fleet.ts
+++ b/packages/serving/src/fleet.ts
@@ -30,11 +30,16 @@
   engineLoadAtMs: number;
   serviceLoad?: ServiceLoad | undefined;
   serviceLoadAtMs: number;
+  /** Requests of the stated load that no node had announced when it was read. */
+  unannouncedRequests: number;
   /** What this node and others have measured; the next three follow from it. */
   readonly figures: UpstreamFigures;
   /** Smoothed time to the first event per queued prompt token; 0 until one is measured. */
   msPerPromptToken: number;
-  /** Smoothed latency of successful responses, in milliseconds; 0 until one is measured. */
+  /**
+   * Smoothed latency of successful responses at the usual pace, without the wait for a slot; 0 until
+   * one is measured.
+   */
   latencyMs: number;
   /** Smoothed share of responses that failed, 0 to 1. */
   failureShare: number;
@@ -82,6 +87,7 @@
   ownRuns: new Map(),
   engineLoadAtMs: 0,
   serviceLoadAtMs: 0,
+  unannouncedRequests: 0,
   figures: UpstreamFigures.create(),
   latencyMs: 0,
   msPerPromptToken: 0,
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -1,6 +1,7 @@
 import type { Random } from '@zinniagrade/clock';
 import type { FleetMember } from './fleet.js';
 import { ownUse, type UpstreamUse } from './peer-use.js';
+import { occupancy, paceOf } from './service-load.js';
 
 /** Engine resources that one generation is expected to need. */
 export interface GenerationNeed {
@@ -225,17 +226,19 @@
   constraints: PlacementConstraints,
   random: Random,
 ): FleetMember | undefined => {
+  const { nowMs, peerUse } = constraints;
   const usable = members.filter((member) => isUsable(member, constraints));
+  const measured = usable.filter(({ latencyMs }) => latencyMs > 0);
   let meanLatencyMs = 0;
-  for (const member of usable) {
-    meanLatencyMs += member.latencyMs / Math.max(1, usable.length);
+  for (const { latencyMs } of measured) {
+    meanLatencyMs += latencyMs / measured.length;
   }
   const callCost = (member: FleetMember): number => {
-    const running = ownUse(member).requests + constraints.peerUse(member.upstream.id).requests;
-    const latency = member.latencyMs === 0 ? meanLatencyMs : member.latencyMs;
+    const latencyMs = member.latencyMs === 0 ? meanLatencyMs : member.latencyMs;
     return (
-      ((running + 1) / Math.max(1, member.upstream.slots)) *
-      Math.max(1, latency) *
+      occupancy(member, peerUse, nowMs) *
+      Math.max(1, latencyMs) *
+      paceOf(member, nowMs) *
       (1 + failureWeight * member.failureShare)
     );
   };
--- a/packages/serving/src/upstream.ts
+++ b/packages/serving/src/upstream.ts
@@ -35,4 +35,6 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How many times longer than usual work takes there now, if stated. */
+  readonly pace?: number;
 }
