Keep all nodes together within the limit of a cold upstream

Each node could send one request a second, so that 61 nodes sent 61 where 50 are allowed. The limit is now divided into whole requests by rendezvous hashing over registered nodes, the key being the upstream and its start. The window is 1.25 s instead of a share of 0.8, which also covers requests that are delayed on their way. Copies at a cold upstream count, as streams may continue there.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,10 +2,11 @@
 import type { Server } from 'node:http';
 import { setImmediate as waitForReads } from 'node:timers/promises';
 import { Random, type Clock } from '@zinniagrade/clock';
-import { isBelowColdLimit, quarantineMs, type FleetMember } from '@zinniagrade/serving';
+import { quarantineMs } from '@zinniagrade/serving';
 import type { ServingContext } from './call.js';
 import { chooseAddresses, createDirectoryServer } from './directory.js';
 import { CallerServer } from './caller-server.js';
+import { ColdLimits } from './cold-limits.js';
 import { limitServerConnections } from './connection-limits.js';
 import { createReadyServer } from './http-servers.js';
 import { createLinkSecret, maxSecretDelayMs } from './link-secret.js';
@@ -170,18 +171,10 @@
       onStoreChanges: peers.pushChanges,
     });
 
-    const isWithinColdStartLimit = (member: FleetMember): boolean =>
-      isBelowColdLimit(
-        member,
-        {
-          perSecond:
-            cluster.configuration()?.services.get(member.upstream.service)?.coldPerSecond ?? 0,
-          excess: settings.coldExcess,
-          slack: settings.coldSlack,
-        },
-        Math.max(1, cluster.nodes.size),
-        clock.monotonicMs(),
-      );
+    const coldLimits = ColdLimits.create(clock, cluster, {
+      node: settings.node,
+      bounds: () => ({ excess: settings.coldExcess, slack: settings.coldSlack }),
+    });
 
     const rollouts: Rollouts = Rollouts.create(clock, random, log, cluster, {
       node: settings.node,
@@ -222,7 +215,7 @@
       responseMemory,
       recordOf: serviceRecords.get,
       nodeCount: () => Math.max(1, cluster.nodes.size),
-      isWithinRateLimits: (member) => isWithinColdStartLimit(member) && statedLimits.allows(member),
+      isWithinRateLimits: (member) => coldLimits.allows(member) && statedLimits.allows(member),
       statements: UpstreamStatements.create(clock, log, cluster.fleet, statedLimits),
       rollouts,
       guard,
--- a/packages/serving/src/cold-limit.ts
+++ b/packages/serving/src/cold-limit.ts
@@ -9,43 +9,47 @@
   readonly slack: number;
 }
 
-const windowMs = 1000;
-/** Share of the limit that is used, because the one-second windows of the nodes are not aligned. */
-const usableShare = 0.8;
+/**
+ * The limit holds for any second at the upstream. Requests sent within this time may arrive within
+ * one second, as connections and busy nodes delay some of them.
+ */
+export const coldWindowMs = 1250;
+
+/** Whole requests that all nodes together may send within a window. */
+export const totalColdSends = ({ perSecond, excess, slack }: ColdLimit): number =>
+  Math.max(1, Math.floor(perSecond * excess + slack));
 
 /**
- * Whether this node may send another request to the upstream.
- *
- * This is for upstreams that restart cold under full traffic. Each node stays within its part of
- * the limit, so the total holds without coordination between nodes. A node may always send at least
- * one request per second, as there may be more nodes than the limit has requests.
+ * The part of a node that is `rank`th in an order on which all nodes agree; 0 is the first. The parts
+ * of all nodes add up to the total, so that with more nodes than requests the last ones get none.
  */
-export const isBelowColdLimit = (
-  member: FleetMember,
-  limit: ColdLimit,
-  nodeCount: number,
-  nowMs: number,
-): boolean => {
-  if (limit.perSecond <= 0 || member.coldUntilMs <= nowMs) {
-    return true;
+export const coldPart = (total: number, nodeCount: number, rank: number): number =>
+  Math.floor(total / nodeCount) + (rank < total % nodeCount ? 1 : 0);
+
+/** Drops times that no window reaches back to any more. */
+const dropEarlierSends = (sends: number[], nowMs: number): void => {
+  while ((sends[0] ?? nowMs) <= nowMs - coldWindowMs) {
+    sends.shift();
   }
-  const totalLimit = limit.perSecond * limit.excess + limit.slack;
-  const nodeLimit = Math.max(1, Math.floor((usableShare * totalLimit) / Math.max(1, nodeCount)));
-  let recentSends = 0;
-  for (const sentAtMs of member.coldSends) {
-    recentSends += sentAtMs > nowMs - windowMs ? 1 : 0;
+};
+
+/**
+ * Whether this node stays within its part of the limit with another request to a cold upstream.
+ *
+ * This is for upstreams that restart cold under full traffic. Streams with a copy at the upstream
+ * count like requests, as they may continue there at any time.
+ */
+export const isBelowColdPart = (member: FleetMember, part: number, nowMs: number): boolean => {
+  dropEarlierSends(member.coldSends, nowMs);
+  let copies = 0;
+  for (const { isBackup } of member.ownRuns.values()) {
+    copies += isBackup ? 1 : 0;
   }
-  return recentSends < nodeLimit;
+  return member.coldSends.length + copies < part;
 };
 
-/** Records a request sent to an upstream, if that is cold. */
+/** Records a request sent to an upstream. A warm one may turn cold within the window. */
 export const recordColdSend = (member: FleetMember, nowMs: number): void => {
-  if (member.coldUntilMs <= nowMs) {
-    member.coldSends.length = 0;
-    return;
-  }
-  while ((member.coldSends[0] ?? nowMs) <= nowMs - windowMs) {
-    member.coldSends.shift();
-  }
+  dropEarlierSends(member.coldSends, nowMs);
   member.coldSends.push(nowMs);
 };
--- a/packages/serving/src/fleet.ts
+++ b/packages/serving/src/fleet.ts
@@ -42,7 +42,7 @@
   waitUntilMs: number;
   /** Until this time on the monotonic clock the upstream is cold and would fail under full load. */
   coldUntilMs: number;
-  /** Times of the requests that this node sent within the last second to the cold upstream. */
+  /** Times of the requests that this node sent lately; see `coldWindowMs`. */
   readonly coldSends: number[];
   /** The requests per second that the upstream states it takes, and what this node has used. */
   readonly statedLimit: StatedLimit;
@@ -122,6 +122,7 @@
       const member = createMember(upstream, nowMs);
       members.set(upstream.id, member);
       const earlier = removed.get(upstream.id);
+      member.coldSends.push(...(earlier?.coldSends ?? []));
       if (earlier !== undefined && earlier.upstream.bornAtMs === upstream.bornAtMs) {
         member.statesLeaving = earlier.statesLeaving;
         member.leaving ||= earlier.statesLeaving;
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,5 +1,6 @@
 export * from './admission.js';
 export * from './cold-limit.js';
+export * from './cold-shares.js';
 export type * from './configuration.js';
 export * from './crash-list.js';
 export * from './departures.js';
