Apply the cold time that upstreams state in their responses

Warm upstreams turn cold without notice, and their registration doesn't tell. A cold time that came with a response is kept when the registration of the same process is read again.

--- a/packages/gateway/src/upstream-client.ts
+++ b/packages/gateway/src/upstream-client.ts
@@ -48,6 +48,8 @@
   readonly requestsPerSecond?: number;
   /** Time for which an upstream that refuses the request wants no other one of this node. */
   readonly retryAfterMs?: number;
+  /** Time for which the upstream is cold; 0 if it states that it is warm. */
+  readonly coldMs?: number;
 }
 
 export interface ExchangeFailure {
--- a/packages/gateway/src/upstream-statements.ts
+++ b/packages/gateway/src/upstream-statements.ts
@@ -42,12 +42,26 @@
       fleet.markLeaving(member);
     };
 
+    const applyCold = (member: FleetMember, coldMs: number): void => {
+      const nowMs = clock.monotonicMs();
+      if (member.coldUntilMs <= nowMs && coldMs > 0) {
+        log.event('upstream states that it is cold', { upstream: member.upstream.id, coldMs });
+      }
+      member.coldUntilMs = nowMs + coldMs;
+    };
+
     return {
       onResponse: (member, head, sentAtMs) => {
         if (head.status === misdirected) {
           return;
         }
         limits.onResponse(member, head, sentAtMs);
+        if (
+          head.coldMs !== undefined &&
+          (head.coldMs > 0 || (head.sealed && head.matchesRequest))
+        ) {
+          applyCold(member, head.coldMs);
+        }
         if (head.retryAfterMs !== undefined) {
           applyWait(member, head.retryAfterMs);
         }
--- a/packages/serving/src/fleet.ts
+++ b/packages/serving/src/fleet.ts
@@ -127,6 +127,7 @@
         member.statesLeaving = earlier.statesLeaving;
         member.leaving ||= earlier.statesLeaving;
         member.waitUntilMs = earlier.waitUntilMs;
+        member.coldUntilMs = Math.max(member.coldUntilMs, earlier.coldUntilMs);
       }
       return member;
     };
@@ -145,10 +146,11 @@
         if (upstream.bornAtMs !== known.upstream.bornAtMs) {
           known.statesLeaving = false;
           known.waitUntilMs = 0;
+          known.coldUntilMs = 0;
         }
         known.upstream = upstream;
         known.registeredAtMs = nowMs;
-        known.coldUntilMs = nowMs + upstream.coldLeftMs;
+        known.coldUntilMs = Math.max(known.coldUntilMs, nowMs + upstream.coldLeftMs);
         known.goneAtMs = undefined;
         if (upstream.state === 'draining') {
           markLeaving(known);
