--- a/packages/serving/src/fleet.ts
+++ b/packages/serving/src/fleet.ts
@@ -51,7 +51,7 @@
   waitUntilMs: number;
   /** Until this time on the monotonic clock the upstream is cold and would fail under full load. */
   coldUntilMs: number;
-  /** Times of the requests that this node sent within the last second to the cold upstream. */
+  /** Times of the requests that this node sent lately; see `coldWindowMs`. */
   readonly coldSends: number[];
   /** The requests per second that the upstream states it takes, and what this node has used. */
   readonly statedLimit: StatedLimit;
@@ -126,10 +126,12 @@
       const member = createMember(upstream, nowMs);
       members.set(upstream.id, member);
       const earlier = removed.get(upstream.id);
+      member.coldSends.push(...(earlier?.coldSends ?? []));
       if (earlier !== undefined && earlier.upstream.bornAtMs === upstream.bornAtMs) {
         member.statesLeaving = earlier.statesLeaving;
         member.leaving ||= earlier.statesLeaving;
         member.waitUntilMs = earlier.waitUntilMs;
+        member.coldUntilMs = Math.max(member.coldUntilMs, earlier.coldUntilMs);
       }
       return member;
     };
@@ -150,10 +152,11 @@
           known.waitUntilMs = 0;
           known.figures.reset(nowMs);
           applyFigures(known, nowMs);
+          known.coldUntilMs = 0;
         }
         known.upstream = upstream;
         known.registeredAtMs = nowMs;
-        known.coldUntilMs = nowMs + upstream.coldLeftMs;
+        known.coldUntilMs = Math.max(known.coldUntilMs, nowMs + upstream.coldLeftMs);
         known.goneAtMs = undefined;
         if (upstream.state === 'draining') {
           markLeaving(known);
