State the priority of a request to engines whose routes or accounts differ in it

Engines admit requests without the header as if all were of medium priority, so that short urgent generations waited behind the prompts of long ones.

--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -164,6 +164,9 @@
       }
     };
 
+    const priority = context.cluster
+      .routes()
+      ?.enginePriority(call.service.name, call.route, call.account);
     const exchange: Exchange = context.client.send(
       {
         upstream: member.upstream,
@@ -172,6 +175,7 @@
         // The engine stops at this time, and a later version may raise the route's time-out.
         remainingMs: call.callerDeadlineAtMs - sentAtMs,
         ...(call.account === undefined ? {} : { account: call.account.name }),
+        ...(priority === undefined ? {} : { priority }),
         ...(copy === undefined ? {} : { copy }),
         ...(afterEvent === undefined ? {} : { afterEvent }),
         ...(backup === undefined ? {} : { backup: backup.upstream }),
--- a/packages/serving/src/route-table.test.ts
+++ b/packages/serving/src/route-table.test.ts
@@ -50,4 +50,33 @@
     expect(table.accountOf('k2')?.name).to.equal('shop');
     expect(table.accountOf('k3')).to.equal(undefined);
   });
+
+  describe('priority at an engine', () => {
+    const long = { ...createRoute('long', 'a.example', '/long/'), priority: 5 };
+    const short = { ...createRoute('short', 'a.example', '/short/'), priority: 1 };
+
+    it('is stated where routes of a service differ', () => {
+      // Without it a short urgent generation waits behind the prompts of long ones.
+      const routes = RouteTable.create(createConfiguration([long, short]));
+      expect(routes.enginePriority('app', long, undefined)).to.equal(5);
+      expect(routes.enginePriority('app', short, undefined)).to.equal(1);
+    });
+
+    it('is not stated where all requests of a service have the same one', () => {
+      // Deployments without priorities send what they sent before.
+      const other = { ...long, targets: [{ service: 'other', weight: 1 }] };
+      const routes = RouteTable.create(createConfiguration([other, short]));
+      expect(routes.enginePriority('app', short, undefined)).to.equal(undefined);
+      expect(routes.enginePriority('other', other, undefined)).to.equal(undefined);
+    });
+
+    it('is that of the client account, within the range of engines', () => {
+      const urgent = { name: 'urgent', keys: ['k3'], priority: 0 };
+      const slow = { name: 'slow', keys: ['k4'], priority: 12 };
+      const configuration = createConfiguration([long]);
+      const routes = RouteTable.create({ ...configuration, clientAccounts: [urgent, slow] });
+      expect(routes.enginePriority('app', long, urgent)).to.equal(0);
+      expect(routes.enginePriority('app', long, slow)).to.equal(9);
+    });
+  });
 });
--- a/packages/serving/src/route-table.ts
+++ b/packages/serving/src/route-table.ts
@@ -9,8 +9,49 @@
   /** The client account of an API key. */
   readonly accountOf: (key: string) => ClientAccount | undefined;
   readonly needsKey: boolean;
+  /**
+   * Priority to state to an engine of the service; undefined if all requests of the service have the
+   * same one.
+   */
+  readonly enginePriority: (
+    service: string,
+    route: Route,
+    account: ClientAccount | undefined,
+  ) => number | undefined;
 }
 
+/** Engines take priorities up to this one. */
+const leastUrgentPriority = 9;
+
+/** Priority of a request, 0 first: that of the client account, else that of the route. */
+export const requestPriority = (route: Route, account: ClientAccount | undefined): number =>
+  account?.priority ?? route.priority;
+
+/** Services whose requests differ in priority. */
+const servicesWithPriorities = ({ routes, clientAccounts }: Configuration): ReadonlySet<string> => {
+  const prioritiesByService = new Map<string, Set<number>>();
+  for (const route of routes) {
+    const callers: (ClientAccount | undefined)[] = [...clientAccounts];
+    if (route.anonymous || clientAccounts.length === 0) {
+      callers.push(undefined);
+    }
+    for (const { service } of route.targets) {
+      const priorities = prioritiesByService.get(service) ?? new Set();
+      prioritiesByService.set(service, priorities);
+      for (const account of callers) {
+        priorities.add(requestPriority(route, account));
+      }
+    }
+  }
+  const services = new Set<string>();
+  for (const [service, priorities] of prioritiesByService) {
+    if (priorities.size > 1) {
+      services.add(service);
+    }
+  }
+  return services;
+};
+
 const longestFirst = (a: Route, b: Route): number => b.pathPrefix.length - a.pathPrefix.length;
 
 const routesByHost = (routes: readonly Route[]): ReadonlyMap<string, readonly Route[]> => {
@@ -39,6 +80,7 @@
   create: (configuration: Configuration): RouteTable => {
     const byHost = routesByHost(configuration.routes);
     const byKey = new Map<string, ClientAccount>();
+    const withPriorities = servicesWithPriorities(configuration);
     for (const account of configuration.clientAccounts) {
       for (const key of account.keys) {
         byKey.set(key, account);
@@ -58,6 +100,10 @@
       byName: new Map(configuration.routes.map((route) => [route.name, route])),
       accountOf: (key) => byKey.get(key),
       needsKey: configuration.clientAccounts.length > 0,
+      enginePriority: (service, route, account) =>
+        withPriorities.has(service)
+          ? Math.min(leastUrgentPriority, Math.max(0, Math.round(requestPriority(route, account))))
+          : undefined,
     };
   },
 };
