Let generations wait in one queue per service instead of each looking for room by itself

The queue serves by priority, then requests that come back after a refusal, then client accounts with few tokens in flight, then deadlines. Room is saved up for those before, so that small generations don't starve a large one.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import { chooseAddresses, createDirectoryServer } from './directory.js';
 import { CallerServer } from './caller-server.js';
 import { limitServerConnections } from './connection-limits.js';
+import { GenerationQueues } from './generation-queues.js';
 import { createReadyServer } from './http-servers.js';
 import { createLinkSecret, maxSecretDelayMs } from './link-secret.js';
 import { Listeners } from './listeners.js';
@@ -111,6 +112,9 @@
       onLimit: (finding) => {
         statedLimits.receive(finding);
       },
+      onPeerUse: () => {
+        queues.wake();
+      },
       limits: () => statedLimits.findings(),
     });
 
@@ -208,6 +212,7 @@
     });
     const unread = UnreadResponses.create(clock, log, limits.maxResponsesBytes);
     const responseMemory = ResponseMemory.create(memory, unread, limits.maxResponsesBytes);
+    const queues: GenerationQueues = GenerationQueues.create(clock, random, log, metrics);
     const context: ServingContext = {
       dataCentre: settings.dataCentre,
       clock,
@@ -221,6 +226,7 @@
       unread,
       responseMemory,
       recordOf: serviceRecords.get,
+      queues,
       nodeCount: () => Math.max(1, cluster.nodes.size),
       isWithinRateLimits: (member) => isWithinColdStartLimit(member) && statedLimits.allows(member),
       statements: UpstreamStatements.create(clock, log, cluster.fleet, statedLimits),
@@ -235,7 +241,10 @@
             context.nodeCount(),
             peers.announcementDelayMs(),
           ),
-      onUseChanged: peers.onUseChanged,
+      onUseChanged: () => {
+        peers.onUseChanged();
+        queues.wake();
+      },
       turnDelayMs: peers.turnDelayMs,
       durations,
       reach,
@@ -257,6 +266,7 @@
       readsLoadOf: peers.readsLoadOf,
       shareLoad: peers.shareLoad,
       onLoad: (member) => {
+        queues.wake();
         if (member.leaving) {
           engineDrainer.scheduleCheck();
         }
@@ -294,6 +304,7 @@
       engineDrainer.scheduleCheck();
     });
     cluster.onChange((change) => {
+      queues.wake();
       switch (change.kind) {
         case 'configuration':
           callerServer.configure(change.configuration);
@@ -451,6 +462,7 @@
         );
         log.event('stopped', { open: callerServer.activeRequests() });
         stopTicks();
+        queues.stop();
         memoryWatch.stop();
         memory.stop();
         unread.stop();
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -7,6 +7,9 @@
   readonly recordFirstEvent: (route: string, durationMs: number) => void;
   readonly recordMovePause: (outcome: string, pauseMs: number) => void;
   readonly countDecision: (name: string) => void;
+  /** Records how long a generation waited for memory of engines. */
+  readonly recordWait: (service: string, outcome: string, waitedMs: number) => void;
+  readonly setQueueLength: (service: string, length: number) => void;
   readonly addOpenRequests: (by: number) => void;
   /** Exports memory sizes, which are read whenever the metrics are. */
   readonly exportMemory: (read: () => Readonly<Record<string, number>>) => void;
@@ -54,6 +57,19 @@
       labelNames: ['kind'],
       registers,
     });
+    const waits = new Histogram({
+      name: 'zinniagrade_queue_wait_ms',
+      help: 'Time for which generations waited for memory of engines, by outcome.',
+      labelNames: ['service', 'outcome'],
+      buckets: latencyBuckets,
+      registers,
+    });
+    const queueLengths = new Gauge({
+      name: 'zinniagrade_queue_length',
+      help: 'Generations that wait for memory of engines.',
+      labelNames: ['service'],
+      registers,
+    });
     const open = new Gauge({
       name: 'zinniagrade_open_requests',
       help: 'Requests that are being served.',
@@ -73,6 +89,12 @@
       countDecision: (kind) => {
         counts.inc({ kind });
       },
+      recordWait: (service, outcome, waitedMs) => {
+        waits.observe({ service, outcome }, waitedMs);
+      },
+      setQueueLength: (service, length) => {
+        queueLengths.set({ service }, length);
+      },
       addOpenRequests: (by) => {
         open.inc(by);
       },
--- a/packages/gateway/src/node-peers.ts
+++ b/packages/gateway/src/node-peers.ts
@@ -32,6 +32,8 @@
   readonly cutOffServices: () => readonly string[];
   /** Called with a load that another node has read, and the time of reading. */
   readonly onLoad: (upstream: string, load: EngineLoad, readAtMs: number) => void;
+  /** Called when another node has announced its use of upstreams. */
+  readonly onPeerUse: (node: string, uses: readonly UpstreamUse[]) => void;
   readonly onReport: (node: string, service: string, report: RolloutReport) => void;
   readonly onFinding: (finding: KeyFinding) => void;
   /** Findings on keys of requests for a node that has none yet. */
@@ -183,6 +185,7 @@
       digest: () => options.mirror().digest(),
       onState: ({ node, uses }) => {
         peerUse.update(node, uses);
+        options.onPeerUse(node, uses);
       },
       onLoad: options.onLoad,
       onReport: options.onReport,
--- a/packages/gateway/src/stream-admission.ts
+++ b/packages/gateway/src/stream-admission.ts
@@ -1,5 +1,12 @@
 import { Failure } from '@zinniagrade/errors';
-import type { Admission, FleetMember } from '@zinniagrade/serving';
+import {
+  noRoomAhead,
+  requestPriority,
+  type Admission,
+  type FleetMember,
+  type RoomAhead,
+  type WaitingAttempt,
+} from '@zinniagrade/serving';
 import type { Call, ServingContext } from './call.js';
 import { createLeavingFailure } from './leaving-failure.js';
 import type { StreamPlacement } from './stream-placement.js';
@@ -26,7 +33,6 @@
  * Retries are late already; they may wait in an engine's queue for this many latency objectives.
  */
 const retryFirstEventGoals = 2;
-const memoryCheckIntervalMs = 40;
 /** New engines register within about this time after the last one has left. */
 const noEngineRetryAfterMs = 600;
 /** Callers honour a retry delay of at most this share of their remaining time. */
@@ -40,6 +46,10 @@
  */
 const retryReserveShare = 0.5;
 
+/** A decision without the room of others: what it would refuse is refused, what it would start waits. */
+const keepIfRefused = (admission: Admission): Admission =>
+  admission.kind === 'placed' ? { kind: 'no-memory' } : admission;
+
 export const StreamAdmission = {
   create: (context: ServingContext, call: Call, placement: StreamPlacement): StreamAdmission => {
     const { clock, cluster } = context;
@@ -51,84 +61,134 @@
 
     const maxWaitMs = route.goalMs * (isRetry ? retryMaxWaitGoalShare : maxWaitGoalShare);
 
+    const waitUntilMs = arrivedAtMs + maxWaitMs;
+    const tokens = placement.expectedTokens(0);
+    const accountName = call.account?.name ?? '';
+    let isUseRecorded = false;
+
     /** A retry is late already, so it gets a longer limit to its first event. */
-    const decideAdmission = (excluded: ReadonlySet<string>): Admission => {
+    const decideAdmission = (excluded: ReadonlySet<string>, ahead: RoomAhead): Admission => {
       const nowMs = clock.monotonicMs();
       const engines = cluster.fleet.ofService(service.name).filter((member) => !member.leaving);
       const reserve = departures.reserveShare(nowMs, engines.length);
-      return placement.admit(excluded, {
+      return placement.admit(new Set([...excluded, ...ahead.savedEngines]), {
         reserveShare: isRetry ? reserve * retryReserveShare : reserve,
         firstEventWithinMs: isRetry
           ? retryFirstEventGoals * route.goalMs
           : latenessTolerance * (arrivedAtMs + route.goalMs - nowMs),
+        tokensAhead: ahead.tokens,
       });
     };
 
+    /** A request that only those before it keep from an engine waits, as it might without them. */
+    const decideInTurn = (excluded: ReadonlySet<string>, ahead: RoomAhead): Admission => {
+      const admission = decideAdmission(excluded, ahead);
+      const isKept = ahead.savedEngines.size > 0;
+      return isKept && (admission.kind === 'late' || admission.kind === 'no-engine')
+        ? keepIfRefused(decideAdmission(excluded, noRoomAhead))
+        : admission;
+    };
+
     const retryAfterMs = (): number => {
       const nowMs = clock.monotonicMs();
       const maxRetryAfterMs = (call.callerDeadlineAtMs - nowMs) * maxRetryAfterShare;
-      return returnTimes.reserveWaitMs(placement.expectedTokens(0), nowMs, maxRetryAfterMs);
+      return returnTimes.reserveWaitMs(tokens, nowMs, maxRetryAfterMs);
     };
 
-    const admit: StreamAdmission['admit'] = (excluded, onPlaced, onRefused) => {
-      if (call.isEnded()) {
-        return;
-      }
+    /** Why the request can't be served, whether it waits or not. */
+    const refusalOf = (): { readonly failure: Failure; readonly reason: string } | undefined => {
       const refusal = context.guard.refusal(call);
       if (refusal !== undefined) {
-        onRefused(refusal, refusal.kind);
-        return;
+        return { failure: refusal, reason: refusal.kind };
       }
       if (!call.response.headersSent && !context.canFinish(call)) {
         // The request has waited for memory while this node began to shut down.
-        onRefused(createLeavingFailure(), 'leaving');
-        return;
+        return { failure: createLeavingFailure(), reason: 'leaving' };
       }
-      const admission = decideAdmission(excluded);
+      return undefined;
+    };
+
+    const failureOf = (admission: Exclude<Admission, { readonly kind: 'placed' }>): Failure => {
       switch (admission.kind) {
-        case 'placed':
-          onPlaced(admission.member);
-          return;
         case 'no-engine':
-          onRefused(
-            Failure.create(
-              'no-upstream',
-              `service ${service.name} has no available engine`,
-              context.statements.retryAfterMs(call, noEngineRetryAfterMs),
-            ),
-            admission.kind,
+          return Failure.create(
+            'no-upstream',
+            `service ${service.name} has no available engine`,
+            context.statements.retryAfterMs(call, noEngineRetryAfterMs),
           );
-          return;
         case 'late':
           // Waiting here would use up as much of the objective as it saves in the engine's queue.
-          onRefused(
-            Failure.create(
-              'overloaded',
-              `service ${service.name} would send the first event too late`,
-              Math.max(admission.lateByMs, retryAfterMs()),
-            ),
-            admission.kind,
+          return Failure.create(
+            'overloaded',
+            `service ${service.name} would send the first event too late`,
+            Math.max(admission.lateByMs, retryAfterMs()),
           );
-          return;
         case 'no-memory':
-          if (clock.monotonicMs() - arrivedAtMs < maxWaitMs) {
-            call.onEnded(
-              clock.after(memoryCheckIntervalMs, () => {
-                admit(excluded, onPlaced, onRefused);
-              }),
-            );
-            return;
-          }
-          onRefused(
-            Failure.create(
-              'overloaded',
-              `engines of ${service.name} have no free memory`,
-              retryAfterMs(),
-            ),
-            admission.kind,
+          return Failure.create(
+            'overloaded',
+            `engines of ${service.name} have no free memory`,
+            retryAfterMs(),
           );
       }
     };
+
+    const recordUse = (): void => {
+      if (isUseRecorded) {
+        return;
+      }
+      isUseRecorded = true;
+      context.queues.recordUse(service.name, accountName, tokens);
+      call.onEnded(() => {
+        context.queues.recordUse(service.name, accountName, -tokens);
+      });
+    };
+
+    const admit: StreamAdmission['admit'] = (excluded, onPlaced, onRefused) => {
+      const attempt = (ahead: RoomAhead): WaitingAttempt => {
+        if (call.isEnded()) {
+          return { kind: 'left', started: false };
+        }
+        const refusal = refusalOf();
+        if (refusal !== undefined) {
+          onRefused(refusal.failure, refusal.reason);
+          return { kind: 'left', started: false };
+        }
+        const admission = decideInTurn(excluded, ahead);
+        if (admission.kind === 'placed') {
+          recordUse();
+          onPlaced(admission.member);
+          return { kind: 'left', started: true };
+        }
+        if (admission.kind === 'no-memory' && clock.monotonicMs() < waitUntilMs) {
+          const { roomiestEngine } = admission;
+          return roomiestEngine === undefined
+            ? { kind: 'waits' }
+            : { kind: 'waits', savedEngine: roomiestEngine };
+        }
+        onRefused(failureOf(admission), admission.kind);
+        return { kind: 'left', started: false };
+      };
+      if (call.isEnded()) {
+        return;
+      }
+      context.queues.add(service.name, {
+        requestId: call.request.id,
+        request: {
+          priority: requestPriority(route, call.account),
+          isReturn: isRetry,
+          account: accountName,
+          tokens,
+          arrivedAtMs,
+          deadlineAtMs: call.callerDeadlineAtMs,
+        },
+        attempt,
+        giveUp: () => {
+          onRefused(failureOf({ kind: 'no-memory' }), 'no-memory');
+        },
+        waitUntilMs,
+        onEnded: call.onEnded,
+      });
+    };
     return { admit };
   },
 };
--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -18,19 +18,42 @@
   readonly reserveShare: number;
   /** Longest expected time to the first event, in milliseconds. */
   readonly firstEventWithinMs: number;
+  /** Memory of all engines that stays free for requests before this one. */
+  readonly tokensAhead: number;
 }
 
 /** The engine chosen for a new generation, or the reason why it is not admitted. */
 export type Admission =
   | { readonly kind: 'placed'; readonly member: FleetMember }
   | { readonly kind: 'no-engine' }
-  | { readonly kind: 'no-memory' }
+  /** `roomiestEngine` is set if the memory of all engines together would do. */
+  | { readonly kind: 'no-memory'; readonly roomiestEngine?: string }
   /** Even at the fastest engine the first event would exceed the limit by `lateByMs`. */
   | { readonly kind: 'late'; readonly lateByMs: number };
 
 /** Output lengths are only estimates: an engine above this share may preempt running requests. */
 const maxMemoryShare = 1;
 
+const noNeed: GenerationNeed = { promptTokens: 0, outputTokens: 0 };
+
+/** The engine with most free memory, which is the next to have room. */
+const roomiestOf = (
+  usable: readonly FleetMember[],
+  engineMemoryTokens: number,
+  constraints: PlacementConstraints,
+): string => {
+  let lowestShare = Infinity;
+  let roomiest = '';
+  for (const member of usable) {
+    const share = memoryShare(member, noNeed, engineMemoryTokens, constraints);
+    if (share < lowestShare) {
+      lowestShare = share;
+      roomiest = member.upstream.id;
+    }
+  }
+  return roomiest;
+};
+
 /**
  * Decides whether a generation may start now, and on which engine.
  *
@@ -52,7 +75,7 @@
     return { kind: 'no-engine' };
   }
   const tokens = need.promptTokens + need.outputTokens;
-  const needShare = tokens / Math.max(1, usable.length * engineMemoryTokens);
+  const needShare = (tokens + limits.tokensAhead) / Math.max(1, usable.length * engineMemoryTokens);
   if (
     runningMemoryShare(usable, engineMemoryTokens, constraints) + needShare >
     1 - limits.reserveShare
@@ -63,7 +86,8 @@
     (member) => memoryShare(member, need, engineMemoryTokens, constraints) < maxMemoryShare,
   );
   if (withFreeMemory.length === 0) {
-    return { kind: 'no-memory' };
+    const roomiest = roomiestOf(usable, engineMemoryTokens, constraints);
+    return { kind: 'no-memory', roomiestEngine: roomiest };
   }
   const typicalMsPerToken = typicalMsPerPromptToken(members);
   let earliestMs = Infinity;
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -20,3 +20,4 @@
 export * from './topology.js';
 export * from './stream-recovery.js';
 export type * from './upstream.js';
+export * from './waiting-queue.js';
