--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,7 @@
 import { Random, type Clock } from '@zinniagrade/clock';
 import { isBelowColdLimit, quarantineMs, type FleetMember } from '@zinniagrade/serving';
 import type { ServingContext } from './call.js';
+import { DemandSharing } from './demand-sharing.js';
 import { chooseAddresses, createDirectoryServer } from './directory.js';
 import { CallerServer } from './caller-server.js';
 import { limitServerConnections } from './connection-limits.js';
@@ -112,7 +113,8 @@
       onLimit: (finding) => {
         statedLimits.receive(finding);
       },
-      onPeerUse: () => {
+      onPeerUse: (node, uses) => {
+        demand.onPeerUse(node, uses);
         queues.wake();
       },
       limits: () => statedLimits.findings(),
@@ -212,7 +214,20 @@
     });
     const unread = UnreadResponses.create(clock, log, limits.maxResponsesBytes);
     const responseMemory = ResponseMemory.create(memory, unread, limits.maxResponsesBytes);
-    const queues: GenerationQueues = GenerationQueues.create(clock, random, log, metrics);
+    const queues: GenerationQueues = GenerationQueues.create(
+      clock,
+      random,
+      log,
+      metrics,
+      () => demand,
+    );
+    const demand: DemandSharing = DemandSharing.create(clock, {
+      peers,
+      nodeCount: () => Math.max(1, cluster.nodes.size),
+      waitingHere: queues.waitingFor,
+      onLess: queues.wake,
+      serviceOf: (upstream) => cluster.fleet.members.get(upstream)?.upstream.service,
+    });
     const context: ServingContext = {
       dataCentre: settings.dataCentre,
       clock,
@@ -463,6 +478,7 @@
         log.event('stopped', { open: callerServer.activeRequests() });
         stopTicks();
         queues.stop();
+        demand.stop();
         memoryWatch.stop();
         memory.stop();
         unread.stop();
--- a/packages/gateway/src/generation-queues.test.ts
+++ b/packages/gateway/src/generation-queues.test.ts
@@ -9,7 +9,19 @@
   const setUp = () => {
     const clock = VirtualClock.create();
     const metrics = Metrics.create();
-    const queues = GenerationQueues.create(clock, Random.create(1), Log.createSilent(), metrics);
+    const queues = GenerationQueues.create(
+      clock,
+      Random.create(1),
+      Log.createSilent(),
+      metrics,
+      () => ({
+        onWaitingChanged: () => undefined,
+        recordArrival: () => undefined,
+        tokensAhead: () => tokensElsewhere,
+        urgentRoom: () => ({ tokens: 0, tokensEach: 0 }),
+      }),
+    );
+    let tokensElsewhere = 0;
     const events: string[] = [];
     let room = 0;
     const leaveOf = new Map<string, () => void>();
@@ -18,7 +30,6 @@
         requestId: name,
         request: {
           ...{ priority, isReturn: false, account: '', tokens: 10 },
-          arrivedAtMs: clock.monotonicMs(),
           deadlineAtMs: clock.monotonicMs() + 10_000,
         },
         attempt: ({ tokens }: RoomAhead) => {
@@ -32,6 +43,8 @@
         giveUp: () => {
           events.push(`${name} gives up`);
         },
+        maxWaitMs: 1000,
+        hasPriority: false,
         waitUntilMs: clock.monotonicMs() + 1000,
         onEnded: (listener) => {
           leaveOf.set(name, listener);
@@ -46,6 +59,9 @@
       events,
       add,
       leave: (name: string) => leaveOf.get(name)?.(),
+      setTokensElsewhere: (tokens: number) => {
+        tokensElsewhere = tokens;
+      },
       setRoom: (tokens: number) => {
         room = tokens;
       },
@@ -87,6 +103,18 @@
     expect(events).to.deep.equal(['second starts']);
   });
 
+  it('leaves room to requests before it at other nodes', () => {
+    const { clock, queues, events, add, setRoom, setTokensElsewhere } = setUp();
+    setTokensElsewhere(10);
+    setRoom(10);
+    add('first');
+    expect(events).to.deep.equal([]);
+    setRoom(20);
+    queues.wake();
+    clock.advance(20);
+    expect(events).to.deep.equal(['first starts']);
+  });
+
   it('ends what has waited for too long', () => {
     const { clock, events, add, setRoom } = setUp();
     add('first');
--- a/packages/gateway/src/generation-queues.ts
+++ b/packages/gateway/src/generation-queues.ts
@@ -5,6 +5,7 @@
   type WaitingAttempt,
   type WaitingRequest,
 } from '@zinniagrade/serving';
+import type { DemandSharing, WaitingHere } from './demand-sharing.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 
@@ -18,6 +19,9 @@
   /** Ends the generation if it still waits at `waitUntilMs`, or if the queue is full. */
   readonly giveUp: () => void;
   readonly waitUntilMs: number;
+  readonly maxWaitMs: number;
+  /** Whether requests of the service differ in priority. */
+  readonly hasPriority: boolean;
   readonly onEnded: (listener: () => void) => void;
 }
 
@@ -25,6 +29,8 @@
 export interface GenerationQueues {
   /** Attempts to start the generation in its turn, and lets it wait if that fails. */
   readonly add: (service: string, generation: QueuedGeneration) => void;
+  /** What waits for a service at this node. */
+  readonly waitingFor: (service: string) => Iterable<WaitingHere>;
   /** To be called when engines may have more room than before. */
   readonly wake: () => void;
   /** Records memory that a started generation of a client account takes. */
@@ -32,6 +38,11 @@
   readonly stop: () => void;
 }
 
+export type DemandOfOthers = Pick<
+  DemandSharing,
+  'onWaitingChanged' | 'recordArrival' | 'tokensAhead' | 'urgentRoom'
+>;
+
 interface ServiceQueue {
   readonly queue: WaitingQueue;
   readonly generations: Map<string, QueuedGeneration>;
@@ -49,8 +60,17 @@
 /** For room that appears without a message, as when the time to avoid an engine is over. */
 const fallbackIntervalMs = 250;
 
+/** Nodes don't know what client accounts have in flight at others, and so don't order by it. */
+const noTokens = (): number => 0;
+
 export const GenerationQueues = {
-  create: (clock: Clock, random: Random, log: Log, metrics: Metrics): GenerationQueues => {
+  create: (
+    clock: Clock,
+    random: Random,
+    log: Log,
+    metrics: Metrics,
+    demand: () => DemandOfOthers,
+  ): GenerationQueues => {
     const services = new Map<string, ServiceQueue>();
     let isScheduled = false;
     let waiting = 0;
@@ -80,6 +100,15 @@
       }
     };
 
+    const addOtherNodes = (name: string, request: WaitingRequest, ahead: RoomAhead): RoomAhead => {
+      const others = demand();
+      return {
+        ...ahead,
+        tokens: ahead.tokens + others.tokensAhead(name, request, noTokens),
+        urgentRoom: others.urgentRoom(name, request.priority),
+      };
+    };
+
     const serve = (name: string, service: ServiceQueue): void => {
       if (service.isServing) {
         return;
@@ -88,7 +117,10 @@
       try {
         service.queue.serve(
           (request, ahead) =>
-            service.generations.get(request.id)?.attempt(ahead) ?? { kind: 'left', started: false },
+            service.generations.get(request.id)?.attempt(addOtherNodes(name, request, ahead)) ?? {
+              kind: 'left',
+              started: false,
+            },
         );
       } finally {
         service.isServing = false;
@@ -132,6 +164,7 @@
         const waitedMs = clock.monotonicMs() - queuedAtMs;
         metrics.recordWait(name, outcome, waitedMs);
         if (hasWaited) {
+          demand().onWaitingChanged(name);
           // Room that was saved up for this request may do for the next one.
           wake();
           log.decision('generation waited', {
@@ -165,6 +198,9 @@
           generation.giveUp();
         },
       });
+      if (generation.hasPriority) {
+        demand().recordArrival(name, request, generation.maxWaitMs);
+      }
       const displaced = service.queue.add(request);
       if (displaced !== undefined) {
         service.generations.get(displaced.id)?.giveUp();
@@ -178,10 +214,22 @@
       } else {
         serve(name, service);
       }
+      if (service.generations.has(request.id)) {
+        demand().onWaitingChanged(name);
+      }
     };
 
     return {
       add,
+      waitingFor: function* (name) {
+        const service = services.get(name);
+        for (const request of service?.queue.requests() ?? []) {
+          const waitUntilMs = service?.generations.get(request.id)?.waitUntilMs;
+          if (waitUntilMs !== undefined) {
+            yield { request, waitUntilMs };
+          }
+        }
+      },
       wake,
       recordUse: (service, account, tokens) => {
         const { tokensByAccount } = queueOf(service);
--- a/packages/gateway/src/stream-admission.ts
+++ b/packages/gateway/src/stream-admission.ts
@@ -77,6 +77,7 @@
           ? retryFirstEventGoals * route.goalMs
           : latenessTolerance * (arrivedAtMs + route.goalMs - nowMs),
         tokensAhead: ahead.tokens,
+        urgentRoom: ahead.urgentRoom,
       });
     };
 
@@ -178,7 +179,6 @@
           isReturn: isRetry,
           account: accountName,
           tokens,
-          arrivedAtMs,
           deadlineAtMs: call.callerDeadlineAtMs,
         },
         attempt,
@@ -186,6 +186,9 @@
           onRefused(failureOf({ kind: 'no-memory' }), 'no-memory');
         },
         waitUntilMs,
+        hasPriority:
+          cluster.routes()?.enginePriority(service.name, route, call.account) !== undefined,
+        maxWaitMs,
         onEnded: call.onEnded,
       });
     };
--- a/packages/serving/src/admission.test.ts
+++ b/packages/serving/src/admission.test.ts
@@ -10,7 +10,12 @@
 
 const engineTokens = 34_000;
 const need = { promptTokens: 3000, outputTokens: 900 };
-const unlimited: AdmissionLimits = { reserveShare: 0, firstEventWithinMs: Infinity, tokensAhead: 0 };
+const unlimited: AdmissionLimits = {
+  reserveShare: 0,
+  firstEventWithinMs: Infinity,
+  tokensAhead: 0,
+  urgentRoom: { tokens: 0, tokensEach: 0 },
+};
 
 const createEngines = (count: number): readonly FleetMember[] => {
   const fleet = Fleet.create();
--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -1,5 +1,6 @@
 import type { Random } from '@zinniagrade/clock';
 import type { FleetMember } from './fleet.js';
+import type { UrgentRoom } from './peer-demand.js';
 import {
   expectedFirstEventMs,
   expectedUse,
@@ -20,6 +21,8 @@
   readonly firstEventWithinMs: number;
   /** Memory of all engines that stays free for requests before this one. */
   readonly tokensAhead: number;
+  /** Memory for urgent requests that are about to arrive. */
+  readonly urgentRoom: UrgentRoom;
 }
 
 /** The engine chosen for a new generation, or the reason why it is not admitted. */
@@ -54,6 +57,36 @@
   return roomiest;
 };
 
+/** At most this share of the engines is kept from being filled by less urgent requests. */
+const maxKeptEnginesShare = 0.5;
+
+/**
+ * Keeps engines on which an urgent request has room from being filled. Free memory that is spread over
+ * all engines in parts too small for one such request would be of no use to it.
+ */
+const leaveUrgentRoom = (
+  usable: readonly FleetMember[],
+  candidates: readonly FleetMember[],
+  need: GenerationNeed,
+  urgentRoom: UrgentRoom,
+  engineMemoryTokens: number,
+  constraints: PlacementConstraints,
+): readonly FleetMember[] => {
+  if (urgentRoom.tokensEach === 0) {
+    return candidates;
+  }
+  const urgentNeed = { promptTokens: urgentRoom.tokensEach, outputTokens: 0 };
+  const bothNeed = { ...need, promptTokens: need.promptTokens + urgentRoom.tokensEach };
+  const fits = (member: FleetMember, tokens: GenerationNeed): boolean =>
+    memoryShare(member, tokens, engineMemoryTokens, constraints) < maxMemoryShare;
+  const roomy = usable.filter((member) => fits(member, urgentNeed)).length;
+  const kept = Math.min(
+    Math.ceil(urgentRoom.tokens / urgentRoom.tokensEach),
+    Math.floor(maxKeptEnginesShare * usable.length),
+  );
+  return roomy > kept ? candidates : candidates.filter((member) => fits(member, bothNeed));
+};
+
 /**
  * Decides whether a generation may start now, and on which engine.
  *
@@ -75,15 +108,24 @@
     return { kind: 'no-engine' };
   }
   const tokens = need.promptTokens + need.outputTokens;
-  const needShare = (tokens + limits.tokensAhead) / Math.max(1, usable.length * engineMemoryTokens);
+  const needShare =
+    (tokens + limits.tokensAhead + limits.urgentRoom.tokens) /
+    Math.max(1, usable.length * engineMemoryTokens);
   if (
     runningMemoryShare(usable, engineMemoryTokens, constraints) + needShare >
     1 - limits.reserveShare
   ) {
     return { kind: 'no-memory' };
   }
-  const withFreeMemory = usable.filter(
-    (member) => memoryShare(member, need, engineMemoryTokens, constraints) < maxMemoryShare,
+  const withFreeMemory = leaveUrgentRoom(
+    usable,
+    usable.filter(
+      (member) => memoryShare(member, need, engineMemoryTokens, constraints) < maxMemoryShare,
+    ),
+    need,
+    limits.urgentRoom,
+    engineMemoryTokens,
+    constraints,
   );
   if (withFreeMemory.length === 0) {
     const roomiest = roomiestOf(usable, engineMemoryTokens, constraints);
--- a/packages/serving/src/waiting-queue.test.ts
+++ b/packages/serving/src/waiting-queue.test.ts
@@ -88,7 +88,6 @@
         const { priority } = kind;
         queue.add({
           ...{ id, priority, isReturn, account, tokens, deadlineAtMs },
-          arrivedAtMs: nowMs,
         });
       }
     }
@@ -117,7 +116,12 @@
             ...{ upstream, requests: 0, promptTokens: 0, memoryTokens: 0, copyTokens: 0 },
           }),
         },
-        { reserveShare: 0, firstEventWithinMs: Infinity, tokensAhead: ahead.tokens },
+        {
+          reserveShare: 0,
+          firstEventWithinMs: Infinity,
+          tokensAhead: ahead.tokens,
+          urgentRoom: ahead.urgentRoom,
+        },
         random,
       );
       if (admission.kind !== 'placed') {
@@ -215,7 +219,7 @@
     // A caller that was refused twice doesn't come again.
     const queue = WaitingQueue.create(3, () => 0);
     const request = (id: string, priority: number, isReturn: boolean): WaitingRequest => ({
-      ...{ id, priority, isReturn, account: '', tokens: 1, arrivedAtMs: 0, deadlineAtMs: 0 },
+      ...{ id, priority, isReturn, account: '', tokens: 1, deadlineAtMs: 0 },
     });
     queue.add(request('new', 5, false));
     queue.add(request('return', 5, true));
--- a/packages/serving/src/waiting-queue.ts
+++ b/packages/serving/src/waiting-queue.ts
@@ -1,3 +1,5 @@
+import type { UrgentRoom } from './peer-demand.js';
+
 /** A generation for which no engine has had room so far. */
 export interface WaitingRequest {
   /** Identifies one attempt to start; unique within the queue. */
@@ -10,7 +12,6 @@
   readonly account: string;
   /** Expected memory at the end of the generation. */
   readonly tokens: number;
-  readonly arrivedAtMs: number;
   readonly deadlineAtMs: number;
 }
 
@@ -19,6 +20,8 @@
   readonly tokens: number;
   /** Engines whose free memory is saved up for requests before it. */
   readonly savedEngines: ReadonlySet<string>;
+  /** Kept free for urgent requests that are about to arrive. */
+  readonly urgentRoom: UrgentRoom;
 }
 
 /**
@@ -50,7 +53,11 @@
 export type TokensOfAccount = (account: string) => number;
 
 /** No requests are before this one. */
-export const noRoomAhead: RoomAhead = { tokens: 0, savedEngines: new Set() };
+export const noRoomAhead: RoomAhead = {
+  tokens: 0,
+  savedEngines: new Set(),
+  urgentRoom: { tokens: 0, tokensEach: 0 },
+};
 
 /**
  * Each waiting request that doesn't fit costs a look at all engines. Beyond this number, room for a
@@ -119,7 +126,7 @@
           if (!waiting.has(request.id)) {
             continue;
           }
-          const outcome = attempt(request, { tokens, savedEngines });
+          const outcome = attempt(request, { ...noRoomAhead, tokens, savedEngines });
           if (outcome.kind === 'left') {
             waiting.delete(request.id);
             continue;
