--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,10 +4,12 @@
 import { Random, type Clock } from '@zinniagrade/clock';
 import { quarantineMs } from '@zinniagrade/serving';
 import type { ServingContext } from './call.js';
+import { DemandSharing } from './demand-sharing.js';
 import { chooseAddresses, createDirectoryServer } from './directory.js';
 import { CallerServer } from './caller-server.js';
 import { ColdLimits } from './cold-limits.js';
 import { limitServerConnections } from './connection-limits.js';
+import { GenerationQueues } from './generation-queues.js';
 import { createReadyServer } from './http-servers.js';
 import { createLinkSecret, maxSecretDelayMs } from './link-secret.js';
 import { Listeners } from './listeners.js';
@@ -114,6 +116,10 @@
       onLimit: (finding) => {
         statedLimits.receive(finding);
       },
+      onPeerUse: (node, uses) => {
+        demand.onPeerUse(node, uses);
+        queues.wake();
+      },
       limits: () => statedLimits.findings(),
     });
 
@@ -213,6 +219,20 @@
     });
     const unread = UnreadResponses.create(clock, log, limits.maxResponsesBytes);
     const responseMemory = ResponseMemory.create(memory, unread, limits.maxResponsesBytes);
+    const queues: GenerationQueues = GenerationQueues.create(
+      clock,
+      random,
+      log,
+      metrics,
+      () => demand,
+    );
+    const demand: DemandSharing = DemandSharing.create(clock, {
+      peers,
+      nodeCount: () => Math.max(1, cluster.nodes.size),
+      waitingHere: queues.waitingFor,
+      onLess: queues.wake,
+      serviceOf: (upstream) => cluster.fleet.members.get(upstream)?.upstream.service,
+    });
     const context: ServingContext = {
       dataCentre: settings.dataCentre,
       clock,
@@ -226,6 +246,7 @@
       unread,
       responseMemory,
       recordOf: serviceRecords.get,
+      queues,
       nodeCount: () => Math.max(1, cluster.nodes.size),
       isWithinRateLimits: (member) => coldLimits.allows(member) && statedLimits.allows(member),
       statements: UpstreamStatements.create(clock, log, cluster.fleet, statedLimits),
@@ -241,7 +262,10 @@
             context.nodeCount(),
             peers.announcementDelayMs(),
           ),
-      onUseChanged: peers.onUseChanged,
+      onUseChanged: () => {
+        peers.onUseChanged();
+        queues.wake();
+      },
       turnDelayMs: peers.turnDelayMs,
       durations,
       reach,
@@ -263,6 +287,7 @@
       readsLoadOf: peers.readsLoadOf,
       shareLoad: peers.shareLoad,
       onLoad: (member) => {
+        queues.wake();
         if (member.leaving) {
           engineDrainer.scheduleCheck();
         }
@@ -300,6 +325,7 @@
       engineDrainer.scheduleCheck();
     });
     cluster.onChange((change) => {
+      queues.wake();
       switch (change.kind) {
         case 'configuration':
           callerServer.configure(change.configuration);
@@ -457,6 +483,8 @@
         );
         log.event('stopped', { open: callerServer.activeRequests() });
         stopTicks();
+        queues.stop();
+        demand.stop();
         memoryWatch.stop();
         memory.stop();
         unread.stop();
--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -1,5 +1,6 @@
 import type { Random } from '@zinniagrade/clock';
 import type { FleetMember } from './fleet.js';
+import type { UrgentRoom } from './peer-demand.js';
 import {
   expectedFirstEventMs,
   expectedUse,
@@ -18,19 +19,74 @@
   readonly reserveShare: number;
   /** Longest expected time to the first event, in milliseconds. */
   readonly firstEventWithinMs: number;
+  /** Memory of all engines that stays free for requests before this one. */
+  readonly tokensAhead: number;
+  /** Memory for urgent requests that are about to arrive. */
+  readonly urgentRoom: UrgentRoom;
 }
 
 /** The engine chosen for a new generation, or the reason why it is not admitted. */
 export type Admission =
   | { readonly kind: 'placed'; readonly member: FleetMember }
   | { readonly kind: 'no-engine' }
-  | { readonly kind: 'no-memory' }
+  /** `roomiestEngine` is set if the memory of all engines together would do. */
+  | { readonly kind: 'no-memory'; readonly roomiestEngine?: string }
   /** Even at the fastest engine the first event would exceed the limit by `lateByMs`. */
   | { readonly kind: 'late'; readonly lateByMs: number };
 
 /** Output lengths are only estimates: an engine above this share may preempt running requests. */
 const maxMemoryShare = 1;
 
+const noNeed: GenerationNeed = { promptTokens: 0, outputTokens: 0 };
+
+/** The engine with most free memory, which is the next to have room. */
+const roomiestOf = (
+  usable: readonly FleetMember[],
+  engineMemoryTokens: number,
+  constraints: PlacementConstraints,
+): string => {
+  let lowestShare = Infinity;
+  let roomiest = '';
+  for (const member of usable) {
+    const share = memoryShare(member, noNeed, engineMemoryTokens, constraints);
+    if (share < lowestShare) {
+      lowestShare = share;
+      roomiest = member.upstream.id;
+    }
+  }
+  return roomiest;
+};
+
+/** At most this share of the engines is kept from being filled by less urgent requests. */
+const maxKeptEnginesShare = 0.5;
+
+/**
+ * Keeps engines on which an urgent request has room from being filled. Free memory that is spread over
+ * all engines in parts too small for one such request would be of no use to it.
+ */
+const leaveUrgentRoom = (
+  usable: readonly FleetMember[],
+  candidates: readonly FleetMember[],
+  need: GenerationNeed,
+  urgentRoom: UrgentRoom,
+  engineMemoryTokens: number,
+  constraints: PlacementConstraints,
+): readonly FleetMember[] => {
+  if (urgentRoom.tokensEach === 0) {
+    return candidates;
+  }
+  const urgentNeed = { promptTokens: urgentRoom.tokensEach, outputTokens: 0 };
+  const bothNeed = { ...need, promptTokens: need.promptTokens + urgentRoom.tokensEach };
+  const fits = (member: FleetMember, tokens: GenerationNeed): boolean =>
+    memoryShare(member, tokens, engineMemoryTokens, constraints) < maxMemoryShare;
+  const roomy = usable.filter((member) => fits(member, urgentNeed)).length;
+  const kept = Math.min(
+    Math.ceil(urgentRoom.tokens / urgentRoom.tokensEach),
+    Math.floor(maxKeptEnginesShare * usable.length),
+  );
+  return roomy > kept ? candidates : candidates.filter((member) => fits(member, bothNeed));
+};
+
 /**
  * Decides whether a generation may start now, and on which engine.
  *
@@ -52,18 +108,28 @@
     return { kind: 'no-engine' };
   }
   const tokens = need.promptTokens + need.outputTokens;
-  const needShare = tokens / Math.max(1, usable.length * engineMemoryTokens);
+  const needShare =
+    (tokens + limits.tokensAhead + limits.urgentRoom.tokens) /
+    Math.max(1, usable.length * engineMemoryTokens);
   if (
     runningMemoryShare(usable, engineMemoryTokens, constraints) + needShare >
     1 - limits.reserveShare
   ) {
     return { kind: 'no-memory' };
   }
-  const withFreeMemory = usable.filter(
-    (member) => memoryShare(member, need, engineMemoryTokens, constraints) < maxMemoryShare,
+  const withFreeMemory = leaveUrgentRoom(
+    usable,
+    usable.filter(
+      (member) => memoryShare(member, need, engineMemoryTokens, constraints) < maxMemoryShare,
+    ),
+    need,
+    limits.urgentRoom,
+    engineMemoryTokens,
+    constraints,
   );
   if (withFreeMemory.length === 0) {
-    return { kind: 'no-memory' };
+    const roomiest = roomiestOf(usable, engineMemoryTokens, constraints);
+    return { kind: 'no-memory', roomiestEngine: roomiest };
   }
   const typicalMsPerToken = typicalMsPerPromptToken(members);
   let earliestMs = Infinity;
