--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 export { BoundedBody } from './bounded-body.js';
 export type * from './caller-request.js';
+export type * from './duty-holder.js';
 export * from './gateway.js';
 export * from './line-output.js';
 export * from './log.js';
