--- a/packages/duties/src/index.ts
+++ b/packages/duties/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './holding.js';
+export type * from './holding-state.js';
+export * from './instant.js';
