--- a/packages/duties/src/index.ts
+++ b/packages/duties/src/index.ts
@@ -1,3 +1,6 @@
 export * from './holding.js';
 export type * from './holding-state.js';
 export * from './instant.js';
+export * from './clock-offset.js';
+export * from './usage-report.js';
+export * from './usage-windows.js';
