--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -64,6 +64,8 @@
   readonly reach: ServiceReach;
   /** Passes requests on to nodes that reach a service which this node doesn't. */
   readonly relay: NodeRelay;
+  /** To be called when an upstream has begun to run a request; repeats don't count. */
+  readonly countBegun?: (call: Call) => void;
   /** Whether this node is shutting down. */
   readonly isLeaving: () => boolean;
   /** Whether a call that has not been sent can still be finished; false only if the node leaves. */
--- a/packages/gateway/src/cluster-state.ts
+++ b/packages/gateway/src/cluster-state.ts
@@ -6,6 +6,7 @@
   type RolloutState,
   type Upstream,
 } from '@zinniagrade/serving';
+import type { StoredHolder, UsageReport } from '@zinniagrade/duties';
 import type { Log } from './log.js';
 
 /** Registration of a node. */
@@ -33,6 +34,18 @@
   readonly revision: number;
 }
 
+/** Holder of a duty's subject, undefined since a removal, as stored. */
+export interface StoredDutyHolder {
+  readonly holder: StoredHolder | undefined;
+  readonly revision: number;
+}
+
+/** A report of usage as stored. */
+export interface StoredUsageReport {
+  readonly report: UsageReport | undefined;
+  readonly revision: number;
+}
+
 /** A decoded change of one store key. Entries that can't be decoded are `unreadable`. */
 export type ClusterChange =
   | { readonly kind: 'configuration'; readonly configuration: Configuration }
@@ -57,6 +70,12 @@
       readonly key: string;
       readonly isQuarantined: boolean;
     }
+  | {
+      readonly kind: 'duty-holder';
+      readonly subject: string;
+      readonly holder: StoredHolder | undefined;
+    }
+  | { readonly kind: 'usage-report'; readonly report: UsageReport | undefined }
   | { readonly kind: 'link-secret'; readonly secret: string }
   | { readonly kind: 'unreadable'; readonly reason: string }
   | { readonly kind: 'other' };
@@ -71,6 +90,9 @@
   readonly withdrawn: ReadonlySet<string>;
   readonly rollouts: ReadonlyMap<string, Rollout>;
   readonly rolloutStatuses: ReadonlyMap<string, StoredRolloutStatus>;
+  readonly dutyHolders: ReadonlyMap<string, StoredDutyHolder>;
+  /** The last recorded report of usage. */
+  readonly usageReport: () => StoredUsageReport | undefined;
   readonly configuration: () => Configuration | undefined;
   readonly routes: () => RouteTable | undefined;
   /** Secret with which nodes authenticate each other. */
@@ -93,6 +115,8 @@
     const withdrawn = new Set<string>();
     const rollouts = new Map<string, Rollout>();
     const rolloutStatuses = new Map<string, StoredRolloutStatus>();
+    const dutyHolders = new Map<string, StoredDutyHolder>();
+    let usageReport: StoredUsageReport | undefined;
     const listeners: ((change: ClusterChange) => void)[] = [];
     let configuration: Configuration | undefined;
     let routes: RouteTable | undefined;
@@ -209,6 +233,15 @@
         case 'link-secret':
           linkSecret = change.secret;
           break;
+        case 'duty-holder': {
+          const { subject, holder } = change;
+          dutyHolders.set(subject, { holder, revision });
+          log.event('duty holder changed', { subject, holder: holder?.node, revision });
+          break;
+        }
+        case 'usage-report':
+          usageReport = { report: change.report, revision };
+          break;
         case 'quarantine':
           break;
         case 'unreadable':
@@ -228,6 +261,8 @@
       withdrawn,
       rollouts,
       rolloutStatuses,
+      dutyHolders,
+      usageReport: () => usageReport,
       configuration: () => configuration,
       routes: () => routes,
       linkSecret: () => linkSecret,
--- a/packages/gateway/src/duty-holder.ts
+++ b/packages/gateway/src/duty-holder.ts
@@ -1,3 +1,18 @@
+import type { Clock } from '@zinniagrade/clock';
+import {
+  Holding,
+  type ActOutcome,
+  type HoldingAction,
+  type HoldingEvent,
+  type HoldingSettings,
+  type Instant,
+  type StoredHolder,
+} from '@zinniagrade/duties';
+import type { ClusterChange, ClusterState } from './cluster-state.js';
+import type { DutyMetrics } from './duty-metrics.js';
+import type { Log } from './log.js';
+import { Revision, type LeaseId, type MetadataStore } from './metadata-store.js';
+
 /** Right of this node to act for a subject. */
 export interface DutyGrant {
   /** Fencing token, which increases when the holder changes. */
@@ -37,3 +52,295 @@
   ) => Promise<DutyOutcome>;
   readonly close: () => void;
 }
+
+export interface DutyHolderOptions {
+  readonly node: string;
+  /** Differs for each process of the node. */
+  readonly incarnation: string;
+  readonly leaseMs: number;
+  readonly keyOf: (subject: string) => string;
+  readonly encode: (holder: StoredHolder) => Buffer;
+  readonly decode: (key: string, value: Buffer) => ClusterChange;
+  /** How many nodes claim a subject before this one; undefined if this one can't claim it now. */
+  readonly rankOf: (subject: string) => number | undefined;
+  /** Latest known revision of the store; undefined until the store was read. */
+  readonly storeRevision: () => Revision | undefined;
+}
+
+/** A holder whose acts are reported to it. */
+export interface RecordingDutyHolder extends DutyHolder {
+  /** To be called with the outcome of each call for a subject. */
+  readonly recordAct: (subject: string, outcome: ActOutcome) => void;
+}
+
+/** Interval at which a node looks whether the store was read, at its start. */
+const startCheckMs = 250;
+const shutdownCheckMs = 20;
+const shutdownTimeoutMs = 2000;
+
+export const DutyHolder = {
+  create: (
+    store: MetadataStore,
+    clock: Clock,
+    log: Log,
+    metrics: DutyMetrics,
+    cluster: ClusterState,
+    options: DutyHolderOptions,
+  ): RecordingDutyHolder => {
+    const settings: HoldingSettings = {
+      node: options.node,
+      incarnation: options.incarnation,
+      leaseMs: options.leaseMs,
+      eraOf: Revision.eraOf,
+    };
+    const listeners: ((subject: string) => void)[] = [];
+    const grants = new Map<string, DutyGrant>();
+    const now = (): Instant => ({ monotonicMs: clock.monotonicMs(), wallMs: clock.wallMs() });
+    let state = Holding.create(now());
+    let cancelWake = (): void => undefined;
+    let leasesEnding = 0;
+
+    const currentEra = (): number | undefined => {
+      const revision = options.storeRevision();
+      return revision === undefined ? undefined : Revision.eraOf(revision);
+    };
+
+    const apply = (event: HoldingEvent): void => {
+      const step = Holding.step(settings, state, event, now());
+      state = step.state;
+      cancelWake();
+      for (const action of step.actions) {
+        carryOut(action);
+      }
+    };
+
+    const observeEra = (era: number | undefined): void => {
+      if (era !== undefined && era > (state.era ?? -1)) {
+        apply({ kind: 'era', era });
+      }
+    };
+
+    const dispatch = (event: HoldingEvent): void => {
+      observeEra(currentEra());
+      apply(event);
+    };
+
+    const wake = (): void => {
+      const ranks = new Map<string, number>();
+      for (const subject of Holding.claimableSubjects(state)) {
+        const rank = options.rankOf(subject);
+        if (rank !== undefined) {
+          ranks.set(subject, rank);
+        }
+      }
+      dispatch({ kind: 'wake', ranks });
+    };
+
+    const grantLease = async (): Promise<void> => {
+      const sentAt = now();
+      const granted = await store.grantLease(options.leaseMs);
+      granted.caseOf({
+        Left: () => {
+          dispatch({ kind: 'lease-call-failed' });
+        },
+        Right: (lease) => {
+          dispatch({ kind: 'lease-granted', lease, sentAt });
+        },
+      });
+    };
+
+    const renewLease = async (lease: LeaseId): Promise<void> => {
+      const sentAt = now();
+      const renewed = await store.renewLease(lease);
+      renewed.caseOf({
+        Left: () => {
+          dispatch({ kind: 'lease-call-failed' });
+        },
+        Right: (isAlive) => {
+          dispatch(
+            isAlive ? { kind: 'lease-renewed', lease, sentAt } : { kind: 'lease-ended', lease },
+          );
+        },
+      });
+    };
+
+    const claim = async (subject: string, id: string, lease: LeaseId): Promise<void> => {
+      const key = options.keyOf(subject);
+      const { node, incarnation } = options;
+      const value = options.encode({ node, incarnation, claim: id });
+      const result = await store.commit({
+        expected: new Map([[key, 0]]),
+        writes: [{ key, value, lease }],
+        removals: [],
+      });
+      const { outcome } = result;
+      const revision = result.outcome === 'done' ? result.revision : 0;
+      if (outcome !== 'done') {
+        log.event('duty claim', { subject, outcome });
+      }
+      observeEra(Revision.eraOf(revision));
+      dispatch({ kind: 'claimed', subject, claim: id, outcome, revision });
+    };
+
+    const readBack = async (subject: string, id: string): Promise<void> => {
+      const key = options.keyOf(subject);
+      const listing = await store.list(key);
+      listing.caseOf({
+        Left: () => {
+          dispatch({ kind: 'read-back-failed', subject, claim: id });
+        },
+        Right: ({ items }) => {
+          const item = items.find((candidate) => candidate.key === key);
+          const change = item === undefined ? undefined : options.decode(key, item.value);
+          const holder = change?.kind === 'duty-holder' ? change.holder : undefined;
+          const revision = item?.revision ?? 0;
+          observeEra(Revision.eraOf(revision));
+          dispatch({ kind: 'read-back', subject, claim: id, holder, revision });
+        },
+      });
+    };
+
+    const release = async (subject: string, token: number): Promise<void> => {
+      const key = options.keyOf(subject);
+      const { outcome } = await store.commit({
+        expected: new Map([[key, token]]),
+        writes: [],
+        removals: [key],
+      });
+      dispatch({ kind: 'released', subject, outcome });
+    };
+
+    const revokeLease = async (lease: LeaseId): Promise<void> => {
+      leasesEnding += 1;
+      try {
+        await store.revokeLease(lease);
+      } finally {
+        leasesEnding -= 1;
+      }
+    };
+
+    /** Whatever a call to the store throws counts as a lost reply. */
+    const settle = (call: Promise<void>, failure: HoldingEvent): void => {
+      call.catch((error: unknown) => {
+        log.event('duty store call failed', { reason: String(error) });
+        dispatch(failure);
+      });
+    };
+
+    const notify = (subject: string): void => {
+      for (const listener of listeners) {
+        listener(subject);
+      }
+    };
+
+    const carryOut = (action: HoldingAction): void => {
+      switch (action.kind) {
+        case 'wake-at':
+          cancelWake = clock.after(Math.max(0, action.atMs - clock.monotonicMs()), wake);
+          return;
+        case 'grant-lease':
+          settle(grantLease(), { kind: 'lease-call-failed' });
+          return;
+        case 'renew-lease':
+          settle(renewLease(action.lease), { kind: 'lease-call-failed' });
+          return;
+        case 'revoke-lease':
+          settle(revokeLease(action.lease), { kind: 'lease-call-failed' });
+          return;
+        case 'claim': {
+          const { subject, claim: id, lease } = action;
+          const lost = { kind: 'claimed', subject, claim: id, outcome: 'unknown', revision: 0 };
+          settle(claim(subject, id, lease), lost as HoldingEvent);
+          return;
+        }
+        case 'read-back': {
+          const { subject, claim: id } = action;
+          settle(readBack(subject, id), { kind: 'read-back-failed', subject, claim: id });
+          return;
+        }
+        case 'release': {
+          const { subject, token } = action;
+          settle(release(subject, token), { kind: 'released', subject, outcome: 'unknown' });
+          return;
+        }
+        case 'gained': {
+          const { subject, token } = action;
+          log.event('duty gained', { subject, token });
+          metrics.recordChange(subject, 'gained');
+          grants.set(subject, createGrant(subject, token));
+          notify(subject);
+          return;
+        }
+        case 'lost': {
+          const { subject, token, reason } = action;
+          log.event('duty lost', { subject, token, reason });
+          metrics.recordChange(subject, 'lost');
+          grants.delete(subject);
+          notify(subject);
+        }
+      }
+    };
+
+    const tokenFor = (subject: string, callMs: number): number | undefined =>
+      Holding.tokenFor(settings, state, subject, callMs, now());
+
+    const createGrant = (subject: string, token: number): DutyGrant => ({
+      token,
+      mayAct: (callMs) => {
+        observeEra(currentEra());
+        if (tokenFor(subject, callMs) !== token) {
+          return false;
+        }
+        dispatch({ kind: 'acting', subject, callMs });
+        return tokenFor(subject, callMs) === token;
+      },
+    });
+
+    const applyStored = (subject: string): void => {
+      const stored = cluster.dutyHolders.get(subject);
+      if (stored !== undefined) {
+        dispatch({ kind: 'stored', subject, holder: stored.holder, revision: stored.revision });
+      }
+    };
+
+    cluster.onChange((change) => {
+      if (change.kind === 'duty-holder') {
+        applyStored(change.subject);
+      }
+    });
+    const stopStartChecks = clock.every(startCheckMs, () => {
+      if (currentEra() !== undefined) {
+        stopStartChecks();
+        wake();
+      }
+    });
+
+    return {
+      offer: (subject) => {
+        applyStored(subject);
+        dispatch({ kind: 'offer', subject });
+      },
+      withdraw: (subject) => {
+        dispatch({ kind: 'withdraw', subject });
+      },
+      grantOf: (subject) => grants.get(subject),
+      onChange: (listener) => {
+        listeners.push(listener);
+      },
+      recordAct: (subject, outcome) => {
+        dispatch({ kind: 'acted', subject, outcome });
+      },
+      shutDown: async () => {
+        stopStartChecks();
+        dispatch({ kind: 'leave' });
+        const endMs = clock.monotonicMs() + shutdownTimeoutMs;
+        while ((state.lease !== undefined || leasesEnding > 0) && clock.monotonicMs() < endMs) {
+          await new Promise<void>((resolve) => {
+            clock.after(shutdownCheckMs, resolve);
+          });
+        }
+        cancelWake();
+      },
+    };
+  },
+};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,6 +35,7 @@
 import type { GatewaySettings } from './settings.js';
 import { StatedLimits } from './stated-limits.js';
 import { StoreMirror } from './store-mirror.js';
+import { Duties } from './duties.js';
 import { EngineDrainer } from './engine-drainer.js';
 import { Shutdown } from './shutdown.js';
 import {
@@ -201,6 +202,14 @@
       },
     });
 
+    const duties = Duties.create(platform, clock, random, log, {
+      cluster,
+      peers,
+      mirror,
+      metrics,
+      isLeaving: shutdown.hasBegun,
+    });
+
     const limits = MemoryLimits.create(settings.memoryBytes);
     const memory = MemoryGate.create(clock, log, {
       limitBytes: settings.memoryBytes,
@@ -244,6 +253,7 @@
         settings.node,
         platform.nodes,
       ),
+      ...(duties === undefined ? {} : { countBegun: duties.countBegun }),
       isLeaving: shutdown.hasBegun,
       canFinish: (call) =>
         shutdown.canFinish({
@@ -431,6 +441,7 @@
         shutdown.begin();
         log.event('leaving', { open: callerServer.activeRequests(), graceMs: settings.graceMs });
         listeners.stop();
+        const handOver = duties?.handOver();
         if (registration !== undefined) {
           registration.update(platform.encodeNode(ownEntry()));
           await new Promise<void>((resolve) => {
@@ -450,6 +461,8 @@
           () => !isRegistered && callerServer.activeRequests() === 0 && unusedConnections() === 0,
         );
         log.event('stopped', { open: callerServer.activeRequests() });
+        await handOver;
+        await duties?.stop();
         stopTicks();
         memoryWatch.stop();
         memory.stop();
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -10,6 +10,8 @@
   readonly addOpenRequests: (by: number) => void;
   /** Exports memory sizes, which are read whenever the metrics are. */
   readonly exportMemory: (read: () => Readonly<Record<string, number>>) => void;
+  /** For the metrics of single features. */
+  readonly registry: Registry;
   readonly text: () => Promise<string>;
 }
 
@@ -89,6 +91,7 @@
           },
         });
       },
+      registry,
       text: () => registry.metrics(),
     };
   },
--- a/packages/gateway/src/node-peers.ts
+++ b/packages/gateway/src/node-peers.ts
@@ -73,6 +73,8 @@
   readonly readsLoadOf: (upstream: Upstream) => boolean;
   /** Whether this node acts for all others on something with this name. */
   readonly actsOn: (name: string) => boolean;
+  /** How many nodes of a topic that reach the store precede this one for something with this name. */
+  readonly rankFor: (name: string, topic: string) => number;
   /** Whether this node watches the store itself; otherwise it gets changes from nodes that do. */
   readonly watchesStore: () => boolean;
   /** Requests store changes from the connected nodes. */
@@ -377,6 +379,16 @@
       },
       actsOn: (name) =>
         chooseByRendezvous(name, [self.node, ...broadcast.aliveNodes()])[0] === self.node,
+      rankFor: (name, topic) => {
+        const states = broadcast.states();
+        const others = [...broadcast.aliveNodes()].filter((node) => {
+          const state = states.get(node);
+          const isStaying = cluster.nodes.get(node)?.leaving !== true;
+          return isStaying && state?.store !== 'lost' && state?.topics?.includes(topic) === true;
+        });
+        const nodes = [self.node, ...others];
+        return chooseByRendezvous(name, nodes, nodes.length).indexOf(self.node);
+      },
       watchesStore: shouldWatchStore,
       requestChanges: changeRelay.requestChanges,
       pushChanges: changeRelay.pushChanges,
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -1,10 +1,23 @@
+import type { StoredHolder, UsageReport } from '@zinniagrade/duties';
 import type { ReadCallerRequest } from './caller-request.js';
 import type { ClusterChange, NodeEntry, RolloutStatus } from './cluster-state.js';
+import type { DutyClient } from './duty-holder.js';
 import type { MetadataStore } from './metadata-store.js';
 import type { NodeClient } from './node-client.js';
 import type { GatewaySettings } from './settings.js';
 import type { UpstreamClient } from './upstream-client.js';
 
+/** Calls of duties, and the store keys and values of what one node does for all. */
+export interface DutyPlatform {
+  readonly client: DutyClient;
+  /** Store key of the holder of a subject. */
+  readonly holderKey: (subject: string) => string;
+  readonly encodeHolder: (holder: StoredHolder) => Buffer;
+  /** Store key of the last recorded report of usage. */
+  readonly usageReportKey: string;
+  readonly encodeUsageReport: (report: UsageReport) => Buffer;
+}
+
 /** Settings, clients and encodings that a platform provides to the gateway. */
 export interface Platform {
   readonly settings: GatewaySettings;
@@ -30,6 +43,8 @@
   readonly quarantineEntryKey: (key: string) => string;
   readonly rolloutStatusKey: (service: string) => string;
   readonly encodeRolloutStatus: (status: RolloutStatus) => Buffer;
+  /** Undefined if the settings name no address for the calls of duties. */
+  readonly duties?: DutyPlatform;
   /** Encodes the addresses of nodes, and how long callers may cache them. */
   readonly encodeDirectory: (addresses: readonly string[], lifeMs: number) => Buffer;
 }
--- a/packages/gateway/src/restored-entry.ts
+++ b/packages/gateway/src/restored-entry.ts
@@ -34,6 +34,14 @@
   if (known.kind === 'link-secret') {
     return 'keep';
   }
+  if (known.kind === 'duty-holder') {
+    // The lease of a holder from before the restore has ended.
+    return 'apply';
+  }
+  if (known.kind === 'usage-report' && restored.kind === 'usage-report') {
+    const isOlder = (restored.report?.window ?? -1) < (known.report?.window ?? -1);
+    return isOlder ? 'keep' : 'apply';
+  }
   if (known.kind === 'upstream' && restored.kind === 'upstream') {
     const state = restored.upstream?.state;
     return state === 'draining' || state === known.upstream?.state ? 'apply' : 'hold';
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -167,6 +167,9 @@
       return;
     }
     possibleRuns += 1;
+    if (head.matchesRequest) {
+      context.countBegun?.(call);
+    }
     if (!head.matchesRequest || !head.sealed) {
       recordOutcome(member, latencyMs, true);
       logAttempt(
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,3 +1,16 @@
+/** Duties that one node does for all. */
+export interface DutySettings {
+  readonly kinds: ReadonlySet<'usage' | 'scale'>;
+  /** TTL of the lease under which a node holds subjects. */
+  readonly leaseMs: number;
+  /** Calls a second that the platform takes from all nodes together. */
+  readonly callsPerSecond?: number;
+  /** Length of a window of usage. */
+  readonly usageWindowMs?: number;
+  /** Time after the end of a window in which its report has to arrive. */
+  readonly usageLateMs?: number;
+}
+
 /** Settings of a gateway process, read at its start and at each reload. */
 export interface GatewaySettings {
   readonly node: string;
@@ -41,4 +54,6 @@
    */
   readonly coldExcess: number;
   readonly coldSlack: number;
+  /** Undefined if this deployment has no duties. */
+  readonly duties?: DutySettings;
 }
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -143,6 +143,7 @@
     const onFirstEvent = (): void => {
       firstEventAtMs = clock.monotonicMs();
       run.hasBegun = true;
+      context.countBegun?.(call);
       if (copy === undefined) {
         recordFirstEvent(member, firstEventAtMs - sentAtMs, queuedPromptTokens);
       }
