--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -13,6 +13,8 @@
   readonly addOpenRequests: (by: number) => void;
   /** Exports memory sizes, which are read whenever the metrics are. */
   readonly exportMemory: (read: () => Readonly<Record<string, number>>) => void;
+  /** For the metrics of single features. */
+  readonly registry: Registry;
   readonly text: () => Promise<string>;
 }
 
@@ -111,6 +113,7 @@
           },
         });
       },
+      registry,
       text: () => registry.metrics(),
     };
   },
