--- a/packages/duties/src/index.ts
+++ b/packages/duties/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './scaling.js';
