--- a/packages/serving/src/configuration.ts
+++ b/packages/serving/src/configuration.ts
@@ -55,6 +55,14 @@
   readonly copyLifeMs: number;
 }
 
+/** Limits for the number of upstreams of a service in each data centre. */
+export interface Scaling {
+  readonly min: number;
+  readonly max: number;
+  /** Time from an order until a new upstream serves. */
+  readonly bootMs: number;
+}
+
 export interface Service {
   readonly name: string;
   readonly healthPath: string;
@@ -63,6 +71,8 @@
   /** Requests per second that a cold upstream can serve; 0 if there is no cold start. */
   readonly coldPerSecond: number;
   readonly engine?: Engine;
+  /** Set if the number of upstreams may be changed; a text says why the limits can't be used. */
+  readonly scaling?: Scaling | string;
 }
 
 export interface ClientAccount {
