--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -10,9 +10,19 @@
   readonly addOpenRequests: (by: number) => void;
   /** Exports memory sizes, which are read whenever the metrics are. */
   readonly exportMemory: (read: () => Readonly<Record<string, number>>) => void;
+  /** Exports the numbers of upstreams ordered and needed, which are read whenever the metrics are. */
+  readonly exportOrderedUpstreams: (read: () => readonly OrderedUpstreams[]) => void;
   readonly text: () => Promise<string>;
 }
 
+/** Upstreams of a service in one data centre, as this node knows them. */
+export interface OrderedUpstreams {
+  readonly service: string;
+  readonly dataCentre: string;
+  readonly ordered: number;
+  readonly needed: number;
+}
+
 /** Upper bounds of the latency histograms, in milliseconds. */
 const latencyBuckets = [5, 20, 50, 100, 200, 400, 800, 1500, 3000, 6000, 12_000, 40_000];
 const pauseBuckets = [10, 30, 60, 100, 180, 300, 600, 1200, 2500];
@@ -89,6 +99,21 @@
           },
         });
       },
+      exportOrderedUpstreams: (read) => {
+        new Gauge({
+          name: 'zinniagrade_ordered_upstreams',
+          help: 'Upstreams by service and data centre: as ordered last, and as needed now.',
+          labelNames: ['service', 'data_centre', 'kind'],
+          registers,
+          collect() {
+            this.reset();
+            for (const { service, dataCentre, ordered, needed } of read()) {
+              this.set({ service, data_centre: dataCentre, kind: 'ordered' }, ordered);
+              this.set({ service, data_centre: dataCentre, kind: 'needed' }, needed);
+            }
+          },
+        });
+      },
       text: () => registry.metrics(),
     };
   },
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -15,6 +15,7 @@
 export * from './retry-after-schedule.js';
 export * from './rollout.js';
 export * from './route-table.js';
+export * from './service-demand.js';
 export * from './stated-limit.js';
 export * from './stated-timeouts.js';
 export * from './topology.js';
