--- a/packages/gateway/src/responses.ts
+++ b/packages/gateway/src/responses.ts
@@ -35,15 +35,30 @@
   response.end();
 };
 
-/** Sends a complete upstream response to the caller. */
+const emptyBody = Buffer.alloc(0);
+const noContent = 204;
+const resetContent = 205;
+const notModified = 304;
+
+/**
+ * Sends a complete upstream response to the caller. RFC 9110 allows no content for 204, 205 and 304;
+ * 204 states no length either, and that of 304 would be taken for the length of the stored response.
+ */
 export const forwardResponse = (
   unread: UnreadResponses,
   response: ServerResponse,
   head: ResponseHead,
   body: Buffer,
 ): void => {
-  response.writeHead(head.status, [...head.headers, 'Content-Length', String(body.length)]);
-  unread.end(response, body);
+  const { status, headers } = head;
+  if (status === noContent || status === notModified) {
+    response.writeHead(status, [...headers]);
+    unread.end(response, emptyBody);
+    return;
+  }
+  const content = status === resetContent ? emptyBody : body;
+  response.writeHead(status, [...headers, 'Content-Length', String(content.length)]);
+  unread.end(response, content);
 };
 
 /** Sends the status and headers of a streamed response. */
