--- a/packages/duties/src/index.ts
+++ b/packages/duties/src/index.ts
@@ -4,3 +4,4 @@
 export * from './clock-offset.js';
 export * from './usage-report.js';
 export * from './usage-windows.js';
+export * from './scaling.js';
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -21,6 +21,7 @@
 export * from './rollout.js';
 export * from './route-table.js';
 export * from './service-load.js';
+export * from './service-demand.js';
 export * from './stated-limit.js';
 export * from './stated-timeouts.js';
 export * from './topology.js';
