--- a/packages/gateway/src/scaling-subject.ts
+++ b/packages/gateway/src/scaling-subject.ts
@@ -1,4 +1,5 @@
 import { initialScalingState, type ScalingState } from '@zinniagrade/duties';
+import { scaleSubject } from './duty-acts.js';
 
 /** A service in one data centre, for which one node at a time orders upstreams. */
 export interface ScalingSubject {
@@ -12,20 +13,16 @@
   /** Failed calls in a row. */
   failures: number;
   nextCallAtMs: number;
-  /** Until this time the subject is left to other nodes; undefined if this node takes part. */
-  leftUntilMs: number | undefined;
+  /** Whether this node takes part in holding the subject. */
+  isOffered: boolean;
 }
 
-/** Name under which the subject is held. */
-export const subjectName = (service: string, dataCentre: string): string =>
-  `scale/${encodeURIComponent(service)}/${encodeURIComponent(dataCentre)}`;
-
 export const createSubject = (
   service: string,
   dataCentre: string,
   nowMs: number,
 ): ScalingSubject => ({
-  name: subjectName(service, dataCentre),
+  name: scaleSubject(service, dataCentre),
   service,
   dataCentre,
   state: initialScalingState,
@@ -33,5 +30,5 @@
   isSending: false,
   failures: 0,
   nextCallAtMs: 0,
-  leftUntilMs: undefined,
+  isOffered: false,
 });
