--- a/packages/duties/src/scaling.test.ts
+++ b/packages/duties/src/scaling.test.ts
@@ -96,6 +96,7 @@
         serving,
         localLoad: ends.length / streamsPerUpstream / dataCentres.length,
         localServing,
+        isWhole: true,
       };
       const sharing = { dataCentre: name, dataCentres: open };
       site.state = observeScaling(site.state, sample, limits, sharing);
@@ -197,6 +198,7 @@
       serving: 4,
       localLoad,
       localServing: 4,
+      isWhole: true,
     });
     for (let atMs = 0; atMs <= 40_000; atMs += 500) {
       state = observeScaling(state, sampleAt(atMs, 3.5), limits, sharing);
@@ -205,6 +207,24 @@
     expect(decideOrder(state, sampleAt(40_000, 2.5), limits, sharing)).to.equal(3);
   });
 
+  it('gives nothing back while the load of some nodes is unknown', () => {
+    // Guards against a holder that is cut off from the others and takes their load for none.
+    const sharing = { dataCentre: 'a', dataCentres: ['a'] };
+    const play = (isWhole: (atMs: number) => boolean): number | undefined => {
+      let state = initialScalingState;
+      const sampleAt = (atMs: number): ScalingSample => ({
+        ...{ atMs, load: 0, waiting: 0, serving: 4, localLoad: 0, localServing: 4 },
+        isWhole: isWhole(atMs),
+      });
+      for (let atMs = 0; atMs <= 40_000; atMs += 500) {
+        state = observeScaling(state, sampleAt(atMs), limits, sharing);
+      }
+      return decideOrder(state, sampleAt(40_000), limits, sharing);
+    };
+    expect(play(() => true)).to.equal(3);
+    expect(play((atMs) => atMs !== 20_000)).to.equal(undefined);
+  });
+
   it('stays between the limits, and begins with what runs', () => {
     // Guards against a first order that ends upstreams which run already.
     const sharing = { dataCentre: 'a', dataCentres: ['a'] };
@@ -215,6 +235,7 @@
       serving: localServing,
       localLoad: load,
       localServing,
+      isWhole: true,
     });
     const play = (load: number, counts: readonly number[]): number | undefined => {
       let state = initialScalingState;
--- a/packages/duties/src/scaling.ts
+++ b/packages/duties/src/scaling.ts
@@ -28,6 +28,8 @@
   readonly localLoad: number;
   /** Upstreams in that data centre that take new requests. */
   readonly localServing: number;
+  /** Whether the load of nearly all nodes is known. No upstream is given back without that. */
+  readonly isWhole: boolean;
 }
 
 /** The data centres that share the load of a service. */
@@ -211,7 +213,7 @@
   const observation = {
     ...current,
     needed: countFor(upstreams),
-    ample: countFor(upstreams * stepDownMargin),
+    ample: sample.isWhole ? countFor(upstreams * stepDownMargin) : Infinity,
   };
   return {
     ...state,
--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -8,7 +8,9 @@
 import type { Metrics } from './metrics.js';
 import type { NodePeers } from './node-peers.js';
 import type { Platform } from './platform.js';
+import { ScalingMetrics } from './scaling-metrics.js';
 import type { StoreMirror } from './store-mirror.js';
+import { UpstreamOrders } from './upstream-orders.js';
 import { UsageCounts, usageTopic } from './usage-counts.js';
 import { UsageReports } from './usage-reports.js';
 
@@ -19,6 +21,8 @@
   readonly mirror: StoreMirror;
   readonly metrics: Metrics;
   readonly isLeaving: () => boolean;
+  /** Tokens of generations of a service that wait at all nodes; undefined if nodes don't tell. */
+  readonly waitingTokens?: (service: string) => number | undefined;
 }
 
 /** Calls to the platform that one node makes for all. */
@@ -107,6 +111,27 @@
   };
 };
 
+const createScaleDuty = (
+  { settings: { node, duties } }: Platform,
+  clock: Clock,
+  log: Log,
+  { cluster, peers, metrics, waitingTokens = () => undefined }: DutiesOptions,
+  holder: DutyHolder,
+  client: DutyClient,
+): UpstreamOrders | undefined => {
+  if (duties?.kinds.has('scale') !== true) {
+    return undefined;
+  }
+  const maxCallsPerSecond = duties.callsPerSecond;
+  if (maxCallsPerSecond === undefined) {
+    log.event('duty inactive', { duty: 'scale', reason: 'settings lack its limit on calls' });
+    return undefined;
+  }
+  const scalingMetrics = ScalingMetrics.create(metrics.registry);
+  const options = { node, holder, client, peers, maxCallsPerSecond, waitingTokens };
+  return UpstreamOrders.create(clock, log, scalingMetrics, cluster, options);
+};
+
 export const Duties = {
   /** Undefined if the settings ask for no duty. */
   create: (
@@ -138,6 +163,7 @@
     });
     const client = recordActs(keys.client, holder, log, metrics);
     const usage = createUsageDuty(platform, clock, random, log, options, holder, client);
+    const orders = createScaleDuty(platform, clock, log, options, holder, client);
     return {
       holder,
       client,
@@ -146,6 +172,7 @@
       },
       handOver: () => {
         usage?.stopReports();
+        orders?.stop();
         return holder.shutDown();
       },
       stop: async () => {
--- a/packages/gateway/src/upstream-orders.ts
+++ b/packages/gateway/src/upstream-orders.ts
@@ -10,17 +10,19 @@
 } from '@zinniagrade/duties';
 import { demandOf, type Scaling, type Service } from '@zinniagrade/serving';
 import type { ClusterState } from './cluster-state.js';
+import { scaleSubject } from './duty-acts.js';
 import type { DutyClient, DutyGrant, DutyHolder, DutyOutcome } from './duty-holder.js';
 import type { Log } from './log.js';
-import type { Metrics } from './metrics.js';
 import { KnownOrders, type KnownOrder } from './known-orders.js';
 import type { NodePeers } from './node-peers.js';
-import { createSubject, subjectName, type ScalingSubject } from './scaling-subject.js';
+import type { ScalingMetrics } from './scaling-metrics.js';
+import { createSubject, type ScalingSubject } from './scaling-subject.js';
 
 export interface UpstreamOrdersOptions {
+  readonly node: string;
   readonly holder: Pick<DutyHolder, 'offer' | 'withdraw' | 'grantOf'>;
   readonly client: Pick<DutyClient, 'orderUpstreams'>;
-  readonly peers: Pick<NodePeers, 'peerUse' | 'openTopic'>;
+  readonly peers: Pick<NodePeers, 'peerUse' | 'openTopic' | 'aliveNodes'>;
   /** Calls for duties that the platform takes in a second from all nodes together. */
   readonly maxCallsPerSecond: number;
   /** Tokens of generations that wait or were refused lately; undefined if nodes don't tell. */
@@ -37,17 +39,20 @@
 const orderShare = 0.8;
 /** A data centre without any upstream of a service for this time is out of use for it. */
 const unusedAfterMs = 60_000;
-/** Failed calls in a row after which another node tries: only this one may be cut off. */
-const maxFailures = 3;
-const leaveMs = 15_000;
+/** Below this share of the registered nodes, others know more of the load than this one. */
+const minLinkedShare = 0.5;
+/** Below this share, too little of the load is known to give upstreams back. */
+const minKnownShare = 0.9;
 const minRetryMs = 500;
 const maxRetryMs = 8000;
 
+const round = (value: number): number => Math.round(value * 100) / 100;
+
 export const UpstreamOrders = {
   create: (
     clock: Clock,
     log: Log,
-    metrics: Metrics,
+    metrics: ScalingMetrics,
     cluster: ClusterState,
     options: UpstreamOrdersOptions,
   ): UpstreamOrders => {
@@ -61,8 +66,16 @@
       return typeof scaling === 'string' ? undefined : scaling;
     };
 
+    /** Share of the other registered nodes from which messages arrive. */
+    const linkedShare = (): number => {
+      const others = [...cluster.nodes.keys()].filter((node) => node !== options.node);
+      const alive = peers.aliveNodes();
+      const linked = others.filter((node) => alive.has(node)).length;
+      return others.length === 0 ? 1 : linked / others.length;
+    };
+
     const apply = ({ service, dataCentre, count, sentAtMs }: KnownOrder): void => {
-      const subject = subjects.get(subjectName(service, dataCentre));
+      const subject = subjects.get(scaleSubject(service, dataCentre));
       const scaling = scalingOf(service);
       if (subject !== undefined && scaling !== undefined) {
         subject.state = recordOrder(subject.state, { atMs: sentAtMs, count }, scaling);
@@ -70,9 +83,8 @@
     };
     const knownOrders = KnownOrders.create(clock, peers.openTopic, apply);
 
-    /** Finds the subject, or takes part in holding it from now on. */
     const subjectFor = (service: string, dataCentre: string): ScalingSubject => {
-      const name = subjectName(service, dataCentre);
+      const name = scaleSubject(service, dataCentre);
       const known = subjects.get(name);
       if (known !== undefined) {
         return known;
@@ -83,7 +95,6 @@
       if (order !== undefined) {
         apply(order);
       }
-      holder.offer(name);
       return subject;
     };
 
@@ -106,32 +117,20 @@
       outcome: DutyOutcome,
     ): void => {
       subject.isSending = false;
-      metrics.countDecision(`order of upstreams ${outcome}`);
-      log.event('upstreams ordered', {
-        subject: subject.name,
-        token: grant.token,
-        count: sent.count,
-        before: orderedCount(sent.before),
-        outcome,
-      });
       if (outcome === 'done') {
         subject.failures = 0;
         share(subject, grant, sent.count, true);
         return;
       }
-      if (outcome !== 'unknown') {
+      // An earlier call with the same order may have been taken.
+      const isRepeat = orderedCount(sent.before) === sent.count;
+      if (outcome !== 'unknown' && !isRepeat) {
         subject.state = { ...subject.state, orders: sent.before.orders };
         share(subject, grant, orderedCount(sent.before), true);
       }
       subject.failures += 1;
       const retryMs = Math.min(maxRetryMs, minRetryMs * 2 ** subject.failures);
       subject.nextCallAtMs = Math.max(subject.nextCallAtMs, now() + retryMs);
-      if (subject.failures >= maxFailures && outcome !== 'refused') {
-        subject.failures = 0;
-        subject.leftUntilMs = now() + leaveMs;
-        holder.withdraw(subject.name);
-        log.event('subject left to other nodes', { subject: subject.name, outcome });
-      }
     };
 
     const send = (
@@ -183,6 +182,16 @@
       const count =
         decideOrder(subject.state, sample, scaling, sharing) ?? unconfirmedCount(subject);
       if (count !== undefined) {
+        log.event('upstreams ordered', {
+          subject: subject.name,
+          token: grant.token,
+          count,
+          before: orderedCount(subject.state),
+          load: round(sample.load),
+          waiting: sample.waiting === undefined ? undefined : round(sample.waiting),
+          serving: sample.serving,
+          availability: round(subject.state.availability),
+        });
         send(subject, grant, count, scaling);
       }
     };
@@ -216,6 +225,7 @@
           serving,
           localLoad: local.load,
           localServing: local.serving,
+          isWhole: linkedShare() >= minKnownShare,
         };
         const sharing = { dataCentre, dataCentres };
         subject.state = observeScaling(subject.state, sample, scaling, sharing);
@@ -231,9 +241,10 @@
           holder.withdraw(name);
           continue;
         }
-        if (subject.leftUntilMs !== undefined && now() >= subject.leftUntilMs) {
-          subject.leftUntilMs = undefined;
-          holder.offer(name);
+        const takesPart = linkedShare() >= minLinkedShare;
+        if (takesPart !== subject.isOffered) {
+          subject.isOffered = takesPart;
+          (takesPart ? holder.offer : holder.withdraw)(name);
         }
       }
     };
@@ -263,14 +274,7 @@
       }
     });
 
-    metrics.exportOrderedUpstreams(() =>
-      [...subjects.values()].map(({ service, dataCentre, state }) => ({
-        service,
-        dataCentre,
-        ordered: orderedCount(state),
-        needed: state.observations.at(-1)?.needed ?? 0,
-      })),
-    );
+    metrics.export(() => [...subjects.values()]);
 
     return { stop: stopTicks };
   },
