--- a/packages/gateway/src/usage-reports.ts
+++ b/packages/gateway/src/usage-reports.ts
@@ -115,7 +115,7 @@
       if (result.outcome === 'conflict' || result.outcome === 'unknown') {
         await readBack();
       }
-      return retryMs;
+      return (stored.report?.window ?? -1) >= window ? 0 : retryMs;
     };
 
     const send = async (grant: DutyGrant, report: UsageReport): Promise<number> => {
