--- a/packages/duties/src/holding-state.ts
+++ b/packages/duties/src/holding-state.ts
@@ -15,8 +15,6 @@
   readonly node: string;
   readonly incarnation: string;
   readonly leaseMs: number;
-  /** Era of a token; it increases when the store was restored from an older copy. */
-  readonly eraOf: (token: number) => number;
 }
 
 /** The lease of all subjects of a node. */
--- a/packages/duties/src/holding.test.ts
+++ b/packages/duties/src/holding.test.ts
@@ -157,7 +157,6 @@
         node: `n${String(node)}`,
         incarnation: String(incarnation),
         leaseMs,
-        eraOf: (token) => Math.floor(token / changesPerEra),
       },
       suspendedUntilMs: 0,
       suspendedMs: 0,
@@ -528,7 +527,7 @@
   });
 
   const at = (ms: number, wallMs = ms): Instant => ({ monotonicMs: ms, wallMs });
-  const settings = { node: 'n', incarnation: '1', leaseMs, eraOf: () => 1 };
+  const settings = { node: 'n', incarnation: '1', leaseMs };
   const ranks = new Map([[subject, 0]]);
   /** Claims under a lease granted at 3000 ms. */
   const claimEvents: readonly (readonly [number, HoldingEvent])[] = [
--- a/packages/gateway/src/duty-holder.ts
+++ b/packages/gateway/src/duty-holder.ts
@@ -6,10 +6,10 @@
   type HoldingEvent,
   type HoldingSettings,
   type Instant,
-  type StoredHolder,
 } from '@zinniagrade/duties';
-import type { ClusterChange, ClusterState } from './cluster-state.js';
+import type { ClusterState } from './cluster-state.js';
 import type { DutyMetrics } from './duty-metrics.js';
+import { DutyStoreCalls, type DutyStoreOptions } from './duty-store-calls.js';
 import type { Log } from './log.js';
 import { Revision, type LeaseId, type MetadataStore } from './metadata-store.js';
 
@@ -53,14 +53,7 @@
   readonly close: () => void;
 }
 
-export interface DutyHolderOptions {
-  readonly node: string;
-  /** Differs for each process of the node. */
-  readonly incarnation: string;
-  readonly leaseMs: number;
-  readonly keyOf: (subject: string) => string;
-  readonly encode: (holder: StoredHolder) => Buffer;
-  readonly decode: (key: string, value: Buffer) => ClusterChange;
+export interface DutyHolderOptions extends DutyStoreOptions {
   /** How many nodes claim a subject before this one; undefined if this one can't claim it now. */
   readonly rankOf: (subject: string) => number | undefined;
   /** Latest known revision of the store; undefined until the store was read. */
@@ -87,11 +80,11 @@
     cluster: ClusterState,
     options: DutyHolderOptions,
   ): RecordingDutyHolder => {
+    const calls = DutyStoreCalls.create(store, options);
     const settings: HoldingSettings = {
       node: options.node,
       incarnation: options.incarnation,
       leaseMs: options.leaseMs,
-      eraOf: Revision.eraOf,
     };
     const listeners: ((subject: string) => void)[] = [];
     const grants = new Map<string, DutyGrant>();
@@ -122,6 +115,13 @@
 
     const dispatch = (event: HoldingEvent): void => {
       observeEra(currentEra());
+      if (event.kind === 'claimed' || event.kind === 'read-back') {
+        // The store was restored before it replied; this node's mirror may not know that yet.
+        observeEra(Revision.eraOf(event.revision));
+      }
+      if (event.kind === 'claimed' && event.outcome !== 'done') {
+        log.event('duty claim', { subject: event.subject, outcome: event.outcome });
+      }
       apply(event);
     };
 
@@ -136,92 +136,20 @@
       dispatch({ kind: 'wake', ranks });
     };
 
-    const grantLease = async (): Promise<void> => {
-      const sentAt = now();
-      const granted = await store.grantLease(options.leaseMs);
-      granted.caseOf({
-        Left: () => {
-          dispatch({ kind: 'lease-call-failed' });
-        },
-        Right: (lease) => {
-          dispatch({ kind: 'lease-granted', lease, sentAt });
-        },
-      });
-    };
-
-    const renewLease = async (lease: LeaseId): Promise<void> => {
-      const sentAt = now();
-      const renewed = await store.renewLease(lease);
-      renewed.caseOf({
-        Left: () => {
-          dispatch({ kind: 'lease-call-failed' });
-        },
-        Right: (isAlive) => {
-          dispatch(
-            isAlive ? { kind: 'lease-renewed', lease, sentAt } : { kind: 'lease-ended', lease },
-          );
-        },
-      });
-    };
-
-    const claim = async (subject: string, id: string, lease: LeaseId): Promise<void> => {
-      const key = options.keyOf(subject);
-      const { node, incarnation } = options;
-      const value = options.encode({ node, incarnation, claim: id });
-      const result = await store.commit({
-        expected: new Map([[key, 0]]),
-        writes: [{ key, value, lease }],
-        removals: [],
-      });
-      const { outcome } = result;
-      const revision = result.outcome === 'done' ? result.revision : 0;
-      if (outcome !== 'done') {
-        log.event('duty claim', { subject, outcome });
-      }
-      observeEra(Revision.eraOf(revision));
-      dispatch({ kind: 'claimed', subject, claim: id, outcome, revision });
-    };
-
-    const readBack = async (subject: string, id: string): Promise<void> => {
-      const key = options.keyOf(subject);
-      const listing = await store.list(key);
-      listing.caseOf({
-        Left: () => {
-          dispatch({ kind: 'read-back-failed', subject, claim: id });
-        },
-        Right: ({ items }) => {
-          const item = items.find((candidate) => candidate.key === key);
-          const change = item === undefined ? undefined : options.decode(key, item.value);
-          const holder = change?.kind === 'duty-holder' ? change.holder : undefined;
-          const revision = item?.revision ?? 0;
-          observeEra(Revision.eraOf(revision));
-          dispatch({ kind: 'read-back', subject, claim: id, holder, revision });
-        },
-      });
-    };
-
-    const release = async (subject: string, token: number): Promise<void> => {
-      const key = options.keyOf(subject);
-      const { outcome } = await store.commit({
-        expected: new Map([[key, token]]),
-        writes: [],
-        removals: [key],
-      });
-      dispatch({ kind: 'released', subject, outcome });
-    };
-
     const revokeLease = async (lease: LeaseId): Promise<void> => {
       leasesEnding += 1;
       try {
         await store.revokeLease(lease);
+      } catch (error) {
+        log.event('duty store call failed', { reason: String(error) });
       } finally {
         leasesEnding -= 1;
       }
     };
 
     /** Whatever a call to the store throws counts as a lost reply. */
-    const settle = (call: Promise<void>, failure: HoldingEvent): void => {
-      call.catch((error: unknown) => {
+    const settle = (call: Promise<HoldingEvent>, failure: HoldingEvent): void => {
+      call.then(dispatch, (error: unknown) => {
         log.event('duty store call failed', { reason: String(error) });
         dispatch(failure);
       });
@@ -239,28 +167,34 @@
           cancelWake = clock.after(Math.max(0, action.atMs - clock.monotonicMs()), wake);
           return;
         case 'grant-lease':
-          settle(grantLease(), { kind: 'lease-call-failed' });
+          settle(calls.grantLease(now()), { kind: 'lease-call-failed' });
           return;
         case 'renew-lease':
-          settle(renewLease(action.lease), { kind: 'lease-call-failed' });
+          settle(calls.renewLease(action.lease, now()), { kind: 'lease-call-failed' });
           return;
         case 'revoke-lease':
-          settle(revokeLease(action.lease), { kind: 'lease-call-failed' });
+          void revokeLease(action.lease);
           return;
         case 'claim': {
-          const { subject, claim: id, lease } = action;
-          const lost = { kind: 'claimed', subject, claim: id, outcome: 'unknown', revision: 0 };
-          settle(claim(subject, id, lease), lost as HoldingEvent);
+          const { subject, claim, lease } = action;
+          const lost = {
+            kind: 'claimed',
+            subject,
+            claim,
+            outcome: 'unknown',
+            revision: 0,
+          } as const;
+          settle(calls.claim(subject, claim, lease), lost);
           return;
         }
         case 'read-back': {
-          const { subject, claim: id } = action;
-          settle(readBack(subject, id), { kind: 'read-back-failed', subject, claim: id });
+          const { subject, claim } = action;
+          settle(calls.readBack(subject, claim), { kind: 'read-back-failed', subject, claim });
           return;
         }
         case 'release': {
           const { subject, token } = action;
-          settle(release(subject, token), { kind: 'released', subject, outcome: 'unknown' });
+          settle(calls.release(subject, token), { kind: 'released', subject, outcome: 'unknown' });
           return;
         }
         case 'gained': {
