--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -134,7 +134,7 @@
       nodeCount: () => Math.max(1, cluster.nodes.size),
       openTopic: peers.openTopic,
     });
-    const serviceLoads = SharedLoads.create(clock, metrics, cluster.fleet, {
+    const serviceLoads = SharedLoads.create(clock, log, metrics, cluster.fleet, {
       nodeCount: () => Math.max(1, cluster.nodes.size),
       peerUse: peers.peerUse,
       openTopic: peers.openTopic,
--- a/packages/gateway/src/shared-loads.test.ts
+++ b/packages/gateway/src/shared-loads.test.ts
@@ -1,6 +1,7 @@
 import { VirtualClock } from '@zinniagrade/clock';
 import { Fleet, paceOf, PeerUse, type FleetMember } from '@zinniagrade/serving';
 import { expect } from 'chai';
+import { Log } from './log.js';
 import type { PeerTopic, RowFields } from './peer-topics.js';
 import { SharedLoads } from './shared-loads.js';
 
@@ -17,16 +18,22 @@
   const member = fleet.register({ ...place, id: 'a', slots: 6, state: 'ready', coldLeftMs: 0 }, 0);
   const rows: RowFields[] = [];
   let topic: PeerTopic | undefined;
-  const loads = SharedLoads.create(clock, { countDecision: () => undefined }, fleet, {
-    nodeCount: () => 2,
-    peerUse: PeerUse.create().totalFor,
-    openTopic: (opened) => {
-      topic = opened;
-      return (fields) => {
-        rows.push(JSON.parse(JSON.stringify(fields)) as RowFields);
-      };
+  const loads = SharedLoads.create(
+    clock,
+    Log.createSilent(),
+    { countDecision: () => undefined },
+    fleet,
+    {
+      nodeCount: () => 2,
+      peerUse: PeerUse.create().totalFor,
+      openTopic: (opened) => {
+        topic = opened;
+        return (fields) => {
+          rows.push(JSON.parse(JSON.stringify(fields)) as RowFields);
+        };
+      },
     },
-  });
+  );
   if (topic === undefined) {
     throw new Error('no topic');
   }
--- a/packages/gateway/src/shared-loads.ts
+++ b/packages/gateway/src/shared-loads.ts
@@ -8,6 +8,7 @@
   type UpstreamUse,
 } from '@zinniagrade/serving';
 import { z } from 'zod';
+import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 import type { PeerTopic, RowFields } from './peer-topics.js';
 
@@ -42,6 +43,7 @@
 export const SharedLoads = {
   create: (
     clock: Clock,
+    log: Log,
     metrics: Pick<Metrics, 'countDecision'>,
     fleet: Fleet,
     options: SharedLoadsOptions,
@@ -82,6 +84,7 @@
           const { running, waiting, slots, pace } = load;
           shareRow([id, running, waiting, slots, pace ?? 0]);
           metrics.countDecision('service-load-shared');
+          log.decision('upstream load shared', { upstream: id, running, waiting, slots, pace });
         }
       },
       stop,
