Measure upstreams whose answers a hedge forestalls

An upstream that is slower than the hedging delay was never measured, as the hedge answered first and ended the call; it stayed as good as unknown. A request that was in flight for as long as a hedge waits now counts, when its call ends, as an answer of that time.

--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -8,6 +8,7 @@
   recordSend,
   placeCall,
   recordAnswer,
+  recordUnanswered,
   workTimeMs,
   type PlacementConstraints,
   type FleetMember,
@@ -348,6 +349,11 @@
     attempts.add(attempt);
     call.onEnded(() => {
       if (attempts.delete(attempt)) {
+        const waitedMs = clock.monotonicMs() - sentAtMs;
+        if (responseHead === undefined && waitedMs >= hedgeDelayMs(route.goalMs, expectedMs)) {
+          const nowMs = clock.monotonicMs();
+          recordUnanswered(member, workTimeMs(member, waitedMs, sent.occupancy, nowMs), nowMs);
+        }
         stopFollowing();
         member.ownRuns.delete(runKey);
         context.onUseChanged();
--- a/packages/serving/src/fleet.ts
+++ b/packages/serving/src/fleet.ts
@@ -238,6 +238,17 @@
   applyFigures(member, nowMs);
 };
 
+/**
+ * Records that a response takes longer than this. A slow upstream may never be seen to answer, as a
+ * hedge answers before it.
+ */
+export const recordUnanswered = (member: FleetMember, waitedMs: number, nowMs: number): void => {
+  if (waitedMs > member.latencyMs) {
+    member.figures.observe('latencyMs', waitedMs, nowMs, true);
+    applyFigures(member, nowMs);
+  }
+};
+
 /** Updates the smoothed time per prompt token, from which times to first event are predicted. */
 export const recordFirstEvent = (
   member: FleetMember,
