--- a/packages/serving/src/figure-sharing.test.ts
+++ b/packages/serving/src/figure-sharing.test.ts
@@ -1,14 +1,8 @@
 import { Random } from '@zinniagrade/clock';
 import { expect } from 'chai';
 import { FigureSharing, figureSnapshot } from './figure-sharing.js';
-import {
-  ageFigures,
-  Fleet,
-  receiveFigure,
-  recordAnswer,
-  recordFirstEvent,
-  type FleetMember,
-} from './fleet.js';
+import { Fleet, type FleetMember } from './fleet.js';
+import { ageFigures, receiveFigure, recordAnswer, recordFirstEvent } from './measured-figures.js';
 import { placeCall, placeGeneration, type PlacementConstraints } from './placement.js';
 import type { UpstreamUse } from './peer-use.js';
 
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -9,6 +9,7 @@
 export * from './fingerprint.js';
 export * from './fleet.js';
 export * from './load-sharing.js';
+export * from './measured-figures.js';
 export * from './peer-use.js';
 export * from './placement.js';
 export * from './placement-rate.js';
--- a/packages/serving/src/stream-pace.test.ts
+++ b/packages/serving/src/stream-pace.test.ts
@@ -1,7 +1,8 @@
 import { Random } from '@zinniagrade/clock';
 import { expect } from 'chai';
 import { FigureSharing } from './figure-sharing.js';
-import { Fleet, receiveFigure, type FleetMember } from './fleet.js';
+import { Fleet, type FleetMember } from './fleet.js';
+import { receiveFigure } from './measured-figures.js';
 import { placeGeneration } from './placement.js';
 import { BatchSlowdown, createPauseCost, recordTokenTime } from './stream-pace.js';
 
