--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -238,8 +238,8 @@
       statements: UpstreamStatements.create(clock, log, cluster.fleet, statedLimits),
       rollouts,
       guard,
-      peerUse: peers.peerUse,
       serviceLoads,
+      peerUse: peers.peerUse,
       unknownPlacements: (service) =>
         serviceRecords
           .get(service)
