--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -142,7 +142,7 @@
       nodeCount: () => Math.max(1, cluster.nodes.size),
       openTopic: peers.openTopic,
     });
-    const serviceLoads = SharedLoads.create(clock, metrics, cluster.fleet, {
+    const serviceLoads = SharedLoads.create(clock, log, metrics, cluster.fleet, {
       nodeCount: () => Math.max(1, cluster.nodes.size),
       peerUse: peers.peerUse,
       openTopic: peers.openTopic,
@@ -261,8 +261,8 @@
       statements: UpstreamStatements.create(clock, log, cluster.fleet, statedLimits),
       rollouts,
       guard,
-      peerUse: peers.peerUse,
       serviceLoads,
+      peerUse: peers.peerUse,
       unknownPlacements: (service) =>
         serviceRecords
           .get(service)
