Let the pace of upstreams that have started or recovered rise by their answers

The pace starts with a sixth of the slots in flight over all nodes, doubles while answers come at the usual speed and halves otherwise; nodes share its steps on the topic pace. It rests while a node lacks the topic.

Metrics show the pace while it rises and the time to the full share.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -45,6 +45,7 @@
 } from './upstream-connections.js';
 import { countUnusedConnections } from './unused-connections.js';
 import { UnreadResponses } from './unread-responses.js';
+import { UpstreamPace } from './upstream-pace.js';
 import { UpstreamStatements } from './upstream-statements.js';
 import { ClusterState, type NodeEntry } from './cluster-state.js';
 
@@ -176,6 +177,23 @@
       bounds: () => ({ excess: settings.coldExcess, slack: settings.coldSlack }),
     });
 
+    const unknownPlacements = (service: string): number =>
+      serviceRecords
+        .get(service)
+        .placements.unknownPlacements(
+          clock.monotonicMs(),
+          Math.max(1, cluster.nodes.size),
+          peers.announcementDelayMs(),
+        );
+    const pace = UpstreamPace.create(clock, log, cluster, {
+      ...peers,
+      node: settings.node,
+      knowsUpstreams: () => mirrorCompleteAtMs !== undefined,
+      unknownPlacements,
+      recordRise: metrics.recordRise,
+    });
+    metrics.exportPaces(pace.limits);
+
     const rollouts: Rollouts = Rollouts.create(clock, random, log, cluster, {
       node: settings.node,
       aliveNodes: peers.aliveNodes,
@@ -208,26 +226,20 @@
       log,
       metrics,
       cluster,
-      client: watchedReach.client,
+      client: pace.observe(watchedReach.client),
       limits,
       memory,
       unread,
       responseMemory,
       recordOf: serviceRecords.get,
       nodeCount: () => Math.max(1, cluster.nodes.size),
-      isWithinRateLimits: (member) => coldLimits.allows(member) && statedLimits.allows(member),
+      isWithinRateLimits: (member) =>
+        coldLimits.allows(member) && statedLimits.allows(member) && pace.allows(member),
       statements: UpstreamStatements.create(clock, log, cluster.fleet, statedLimits),
       rollouts,
       guard,
       peerUse: peers.peerUse,
-      unknownPlacements: (service) =>
-        serviceRecords
-          .get(service)
-          .placements.unknownPlacements(
-            clock.monotonicMs(),
-            context.nodeCount(),
-            peers.announcementDelayMs(),
-          ),
+      unknownPlacements,
       onUseChanged: peers.onUseChanged,
       turnDelayMs: peers.turnDelayMs,
       durations,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -10,6 +10,10 @@
   readonly addOpenRequests: (by: number) => void;
   /** Exports memory sizes, which are read whenever the metrics are. */
   readonly exportMemory: (read: () => Readonly<Record<string, number>>) => void;
+  /** Records how long an upstream took to get its full share. */
+  readonly recordRise: (durationMs: number) => void;
+  /** Exports the limit of each upstream whose pace rises. */
+  readonly exportPaces: (read: () => ReadonlyMap<string, number>) => void;
   readonly text: () => Promise<string>;
 }
 
@@ -59,6 +63,12 @@
       help: 'Requests that are being served.',
       registers,
     });
+    const rises = new Histogram({
+      name: 'zinniagrade_pace_rise_ms',
+      help: 'Time until an upstream that has started, failed or turned cold got its full share.',
+      buckets: latencyBuckets,
+      registers,
+    });
     return {
       recordResponse: (route, outcome, durationMs) => {
         answers.inc({ route, outcome });
@@ -89,6 +99,23 @@
           },
         });
       },
+      recordRise: (durationMs) => {
+        rises.observe(durationMs);
+      },
+      exportPaces: (read) => {
+        new Gauge({
+          name: 'zinniagrade_pace_requests',
+          help: 'Requests that all nodes may have in flight at an upstream whose pace rises.',
+          labelNames: ['upstream'],
+          registers,
+          collect() {
+            this.reset();
+            for (const [upstream, limit] of read()) {
+              this.set({ upstream }, limit);
+            }
+          },
+        });
+      },
       text: () => registry.metrics(),
     };
   },
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -7,6 +7,7 @@
 export * from './event-splitter.js';
 export * from './fingerprint.js';
 export * from './fleet.js';
+export * from './pace.js';
 export * from './peer-use.js';
 export * from './placement.js';
 export * from './placement-rate.js';
