Let the pace rise by streams that come at once or were moved

Requests that arrive together see none of each other when they are sent, and continuations were not judged, so that an engine with long streams stayed at its first step for up to 10 s.

--- a/packages/gateway/src/pace-evidence.ts
+++ b/packages/gateway/src/pace-evidence.ts
@@ -25,6 +25,8 @@
 
 const misdirected = 421;
 const firstErrorStatus = 500;
+/** Usual time until a stream goes on from a copy that its engine holds. */
+const usualContinuationMs = 250;
 /** Comments, which an engine may send before it begins to work, have no id. */
 const eventIdField = 'id:';
 
@@ -58,6 +60,9 @@
     tokensAhead: number,
   ): PaceVerdict | undefined => {
     const others = cluster.fleet.ofService(member.upstream.service);
+    if (request.copy !== undefined) {
+      return judgeSpeed(tookMs, usualContinuationMs);
+    }
     if (request.request.prompt === undefined) {
       return judgeSpeed(tookMs, usualLatencyMs(others, observer.isRising));
     }
@@ -81,7 +86,7 @@
         return client.send(request, events);
       }
       const sentAtMs = now();
-      const inFlight = observer.inFlight(member);
+      const inFlightAtSend = observer.inFlight(member);
       const tokensAhead = expectedUse(member, observer.peerUse).promptTokens;
       const isGeneration = request.request.prompt !== undefined;
       let head: ResponseHead | undefined;
@@ -90,6 +95,8 @@
       const record = (verdict: PaceVerdict | undefined): void => {
         if (verdict !== undefined && (!isJudged || verdict === 'failed') && !member.leaving) {
           isJudged = true;
+          // Others that have sent at the same time are known by now. This one may have ended.
+          const inFlight = Math.max(inFlightAtSend, observer.inFlight(member));
           observer.onEvidence(member, { verdict, sentAtMs, inFlight });
         }
       };
@@ -107,7 +114,7 @@
           events.onData(bytes);
           const isFirstEvent =
             isGeneration && !isJudged && head?.status === 200 && bytes.includes(eventIdField);
-          if (isFirstEvent && request.copy === undefined) {
+          if (isFirstEvent) {
             record(judge(member, request, now() - sentAtMs, tokensAhead));
             isJudged = true;
           }
--- a/packages/gateway/src/upstream-pace.test.ts
+++ b/packages/gateway/src/upstream-pace.test.ts
@@ -16,6 +16,7 @@
   Exchange,
   ExchangeEvents,
   ResponseHead,
+  RunCopy,
   UpstreamClient,
   UpstreamRequest,
 } from './upstream-client.js';
@@ -59,7 +60,7 @@
 interface Node {
   readonly cluster: ClusterState;
   readonly pace: UpstreamPace;
-  readonly send: (prompt: typeof need | undefined) => boolean;
+  readonly send: (prompt: typeof need | undefined, copy?: RunCopy) => boolean;
 }
 
 interface Site {
@@ -179,7 +180,7 @@
     return {
       cluster,
       pace,
-      send: (prompt) => {
+      send: (prompt, copy) => {
         const constraints = {
           nowMs: clock.monotonicMs(),
           excludedUpstreams: new Set<string>(),
@@ -196,12 +197,17 @@
         if (member === undefined) {
           return false;
         }
-        sendTo(member, prompt, `${node}#${String((sends += 1))}`);
+        sendTo(member, prompt, copy, `${node}#${String((sends += 1))}`);
         return true;
       },
     };
 
-    function sendTo(member: FleetMember, prompt: typeof need | undefined, key: string): void {
+    function sendTo(
+      member: FleetMember,
+      prompt: typeof need | undefined,
+      copy: RunCopy | undefined,
+      key: string,
+    ): void {
       const { id } = member.upstream;
       const sentAtMs = clock.monotonicMs();
       const promptTokens = prompt?.promptTokens ?? 0;
@@ -219,6 +225,7 @@
         {
           upstream: member.upstream,
           request: { ...(prompt === undefined ? {} : { prompt }) },
+          ...(copy === undefined ? {} : { copy }),
         } as unknown as UpstreamRequest,
         {
           onHead: () => undefined,
@@ -399,6 +406,21 @@
     expect(inTime.length).to.be.greaterThan(site.risesMs.length / 2);
   });
 
+  for (const copy of [undefined, { reference: 'copy' }]) {
+    it(`rises by long ${copy === undefined ? 'generations' : 'moved streams'} that come at once`, () => {
+      // Guards against an engine that stays at its first step until the streams there have ended.
+      const site = createSite({ serviceMs: 60, queue: 100, streamMs: 60_000, isShared: true });
+      site.run(100, 0);
+      site.add('engine-1', engineSlots);
+      site.clock.advance(100);
+      for (const node of site.nodes.slice(0, engineSlots / 6)) {
+        node.send(need, copy);
+      }
+      site.clock.advance(1000);
+      expect(new Set(limitsOf(site, 'engine-1'))).to.deep.equal(new Set([engineSlots / 3]));
+    });
+  }
+
   it('keeps a node that is cut off within its part', () => {
     // Guards against a node that hears of no other one and fills the upstream by itself.
     const { site } = plainSite(true);
--- a/packages/serving/src/pace.ts
+++ b/packages/serving/src/pace.ts
@@ -21,7 +21,7 @@
 export interface PaceEvidence {
   readonly verdict: PaceVerdict;
   readonly sentAtMs: number;
-  /** Requests in flight over all nodes when this one was sent, itself included. */
+  /** Requests in flight over all nodes while this one was. */
   readonly inFlight: number;
 }
 
