--- a/packages/gateway/src/cold-limits.test.ts
+++ b/packages/gateway/src/cold-limits.test.ts
@@ -204,6 +204,22 @@
     expect(withoutUpstream).to.be.at.most(1);
   });
 
+  it('leave room for nodes of an earlier version, which take no parts', () => {
+    // Guards against nodes of this version that use the whole limit by themselves beside others.
+    const nodes = Array.from({ length: 61 }, (_, index) => `node-${String(index)}`);
+    let sends = 0;
+    for (const node of nodes.slice(0, 30)) {
+      const { clock, cluster, limits } = createNode(node, nodes, 1);
+      for (const member of cluster.fleet.ofService('app')) {
+        while (limits.allows(member)) {
+          recordColdSend(member, clock.monotonicMs());
+          sends += 1;
+        }
+      }
+    }
+    expect(sends).to.be.within(1, 30);
+  });
+
   it('end when the upstream is warm', () => {
     const { clock, cluster, limits } = createNode('node-0', ['node-0'], 1);
     const [member] = cluster.fleet.ofService('app');
--- a/packages/serving/src/cold-shares.ts
+++ b/packages/serving/src/cold-shares.ts
@@ -72,6 +72,9 @@
         let part = total;
         for (const set of sets) {
           part = Math.min(part, partIn(set, key, total));
+          if (part === 0) {
+            break;
+          }
         }
         return part;
       },
