--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -14,6 +14,7 @@
 export * from './fingerprint.js';
 export * from './fleet.js';
 export * from './peer-demand.js';
+export * from './pace.js';
 export * from './peer-use.js';
 export * from './placement.js';
 export * from './placement-rate.js';
