Refuse generations that can't be served in time at once, with times by the memory that all nodes free

Nodes measure what generations of all nodes free from the announced use, and share what they have promised to refused callers.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -4,6 +4,7 @@
 import type { ClientAccount, FleetMember, Route, Service, UpstreamUse } from '@zinniagrade/serving';
 import type { BodyMemory } from './bounded-body.js';
 import type { CallerRequest } from './caller-request.js';
+import type { DemandSharing } from './demand-sharing.js';
 import type { GenerationQueues } from './generation-queues.js';
 import type { Log } from './log.js';
 import type { MemoryGate } from './memory-gate.js';
@@ -42,6 +43,8 @@
   readonly recordOf: (service: string) => ServiceRecord;
   /** Generations that wait for memory of engines. */
   readonly queues: GenerationQueues;
+  /** What waits for engines at all nodes, and when refused requests may come back. */
+  readonly demand: Pick<DemandSharing, 'expectedWaitMs' | 'promiseReturn'>;
   readonly nodeCount: () => number;
   /** Whether the cold-start limit and the stated limit of this upstream allow one more request. */
   readonly isWithinRateLimits: (member: FleetMember) => boolean;
--- a/packages/gateway/src/demand-sharing.test.ts
+++ b/packages/gateway/src/demand-sharing.test.ts
@@ -1,7 +1,8 @@
-import { VirtualClock } from '@zinniagrade/clock';
+import { Random, VirtualClock } from '@zinniagrade/clock';
 import type { WaitingRequest } from '@zinniagrade/serving';
 import { expect } from 'chai';
-import { DemandSharing, type WaitingHere } from './demand-sharing.js';
+import type { WaitingHere } from './demand-rows.js';
+import { DemandSharing } from './demand-sharing.js';
 import type { PeerTopic, RowFields } from './peer-topics.js';
 
 const createRequest = (priority: number, tokens: number): WaitingRequest => ({
@@ -16,7 +17,7 @@
     const topics: PeerTopic[] = [];
     const waiting: WaitingHere[] = [];
     let isShared = true;
-    const demand = DemandSharing.create(clock, {
+    const demand = DemandSharing.create(clock, Random.create(1), {
       peers: {
         openTopic: (opened) => {
           topics.push(opened);
@@ -95,12 +96,30 @@
       demand.recordArrival('text', createRequest(0, 2000), 1000);
       clock.advance(100);
     }
-    expect(demand.urgentRoom('text', 5)).to.deep.equal({ tokens: 2000, tokensEach: 2000 });
+    const room = demand.urgentRoom('text', 5);
+    expect([room.tokens, room.tokensEach]).to.deep.equal([2000, 2000]);
+    expect(room.tokensPerMs).to.be.closeTo(2, 1e-6);
     topic?.receive('other', rows[0] ?? []);
     expect(demand.urgentRoom('text', 5).tokens).to.equal(4000);
     expect(demand.urgentRoom('text', 0).tokens).to.equal(0);
   });
 
+  it('assigns times to return by the memory that all nodes free, and tells what it promised', () => {
+    const { clock, rows, demand, use, topic } = setUp();
+    const refused = { priority: 5, tokens: 4000, maxWaitMs: 10_000 };
+    expect(demand.promiseReturn('text', refused), 'without a rate').to.equal(undefined);
+    for (let count = 0; count < 6; count += 1) {
+      demand.onPeerUse('other', use(4000));
+      demand.onPeerUse('other', use(0));
+    }
+    expect(demand.expectedWaitMs('text', 5, 4800)).to.be.closeTo(1000, 1);
+    expect(demand.promiseReturn('text', refused)).to.be.within(600, 1400);
+    clock.advance(20);
+    expect(rows.at(-1)?.slice(0, 2)).to.deep.equal(['promised', 'text']);
+    topic?.receive('other', ['promised', 'text', [[5, 24_000, 5000]]]);
+    expect(demand.promiseReturn('text', refused)).to.be.greaterThan(5000);
+  });
+
   it('rejects rows with invalid fields and ignores other kinds of rows', () => {
     const { topic } = setUp();
     expect(topic?.receive('other', ['waiting', 'text', [[1, 0]]])).to.equal(false);
--- a/packages/gateway/src/demand-sharing.ts
+++ b/packages/gateway/src/demand-sharing.ts
@@ -1,23 +1,27 @@
-import type { Clock } from '@zinniagrade/clock';
+import type { Clock, Random } from '@zinniagrade/clock';
 import {
-  PeerDemand,
-  UrgentArrivals,
+  haveNeedsChanged,
+  rateBeside,
+  RunningMemory,
+  type RefusedRequest,
   type TokensOfAccount,
   type UpstreamUse,
-  type UrgentNeed,
   type UrgentRoom,
   type WaitingRequest,
 } from '@zinniagrade/serving';
-import { z } from 'zod';
+import { ServiceDemand } from './service-demand.js';
+import {
+  needsRow,
+  promisedRow,
+  toNeedsRow,
+  toPromisedRow,
+  toWaitingRow,
+  waitingRow,
+  type WaitingHere,
+} from './demand-rows.js';
 import type { NodePeers } from './node-peers.js';
 import type { RowFields } from './peer-topics.js';
 
-/** A request that waits at this node until a time at the latest. */
-export interface WaitingHere {
-  readonly request: WaitingRequest;
-  readonly waitUntilMs: number;
-}
-
 export interface DemandOptions {
   readonly peers: Pick<NodePeers, 'openTopic' | 'isSharedByAll'>;
   readonly nodeCount: () => number;
@@ -41,21 +45,21 @@
     tokensOf: TokensOfAccount,
   ) => number;
   readonly urgentRoom: (service: string, priority: number) => UrgentRoom;
+  /** Records memory that a generation of this node has freed. */
+  readonly recordFreed: (service: string, tokens: number) => void;
+  /** Time in which generations of all nodes free this memory; undefined if that isn't known. */
+  readonly expectedWaitMs: (
+    service: string,
+    priority: number,
+    tokens: number,
+  ) => number | undefined;
+  /** Time after which a refused request is to come back; undefined if none can be promised. */
+  readonly promiseReturn: (service: string, request: RefusedRequest) => number | undefined;
   /** To be called with the use of upstreams that another node announces. */
   readonly onPeerUse: (node: string, uses: readonly UpstreamUse[]) => void;
   readonly stop: () => void;
 }
 
-interface ServiceDemand {
-  readonly peers: PeerDemand;
-  readonly arrivals: UrgentArrivals;
-  isScheduled: boolean;
-  waitingSharedAtMs: number;
-  waitingRow: RowFields;
-  needsSharedAtMs: number;
-  sharedNeeds: readonly UrgentNeed[];
-}
-
 const topic = 'demand';
 /** Requests wait for 0.75 s and longer; all nodes should know of them for most of that time. */
 const minWaitingIntervalMs = 500;
@@ -64,71 +68,30 @@
 /** What urgent requests need is measured over 10 s. */
 const minNeedsIntervalMs = 5000;
 const needsIntervalMsPerNode = 20;
-/** Needs that changed by less are not worth a row. */
-const needsTolerance = 0.25;
+/** Time in which an update reaches all nodes. */
+const maxDelayMs = 250;
 /** Lets requests that start at once start without a row. */
 const shareDelayMs = 10;
-/** Later ones have others before them at every node. */
-const maxSharedRequests = 8;
 const checkNeedsIntervalMs = 1000;
 /** Under this name the needs of this node are added to those of the others. */
 const self = '';
-const noRoom: UrgentRoom = { tokens: 0, tokensEach: 0 };
-
-const amount = z.number().min(0).max(1e9);
-const waitingRow = z.tuple([
-  z.literal('waiting'),
-  z.string(),
-  z.array(z.tuple([z.number(), z.boolean(), amount, amount, amount, z.string()]).rest(z.unknown())),
-]);
-const needsRow = z.tuple([
-  z.literal('needs'),
-  z.string(),
-  z.array(z.tuple([z.number(), amount, amount]).rest(z.unknown())),
-]);
-
-const isNear = (now: number, before: number): boolean =>
-  Math.abs(now - before) <= needsTolerance * before;
-
-const haveChanged = (before: readonly UrgentNeed[], now: readonly UrgentNeed[]): boolean =>
-  before.length !== now.length ||
-  now.some(({ priority, tokens, tokensEach }) => {
-    const known = before.find((need) => need.priority === priority);
-    return (
-      known === undefined || !isNear(tokensEach, known.tokensEach) || !isNear(tokens, known.tokens)
-    );
-  });
+const noRoom: UrgentRoom = { tokens: 0, tokensEach: 0, tokensPerMs: 0 };
 
 export const DemandSharing = {
-  create: (clock: Clock, options: DemandOptions): DemandSharing => {
+  create: (clock: Clock, random: Random, options: DemandOptions): DemandSharing => {
     const services = new Map<string, ServiceDemand>();
-    /** Memory that the running requests of each node take, by service. */
-    const usedByNode = new Map<string, ReadonlyMap<string, number>>();
+    const running = RunningMemory.create(options.serviceOf);
 
     const demandOf = (service: string): ServiceDemand => {
       const known = services.get(service);
       if (known !== undefined) {
         return known;
       }
-      const created: ServiceDemand = {
-        peers: PeerDemand.create(),
-        arrivals: UrgentArrivals.create(),
-        isScheduled: false,
-        waitingSharedAtMs: -Infinity,
-        waitingRow: ['waiting', service, []],
-        needsSharedAtMs: -Infinity,
-        sharedNeeds: [],
-      };
+      const created = ServiceDemand.create(random);
       services.set(service, created);
       return created;
     };
 
-    const toNeedsRow = (service: string, needs: readonly UrgentNeed[]): RowFields => [
-      'needs',
-      service,
-      needs.map(({ priority, tokens, tokensEach }) => [priority, Math.round(tokens), tokensEach]),
-    ];
-
     const receiveWaiting = (node: string, fields: RowFields): boolean => {
       const row = waitingRow.safeParse(fields);
       if (!row.success) {
@@ -156,25 +119,52 @@
       const [, service, needs] = row.data;
       demandOf(service).peers.updateNeeds(
         node,
-        needs.map(([priority, tokens, tokensEach]) => ({ priority, tokens, tokensEach })),
+        needs.map(([priority, tokens, tokensEach, tokensPerMs]) => ({
+          priority,
+          tokens,
+          tokensEach,
+          tokensPerMs,
+        })),
+      );
+      return true;
+    };
+
+    const receivePromised = (node: string, fields: RowFields): boolean => {
+      const row = promisedRow.safeParse(fields);
+      if (!row.success) {
+        return false;
+      }
+      const [, service, promised] = row.data;
+      demandOf(service).promises.update(
+        node,
+        promised.map(([priority, tokens, withinMs]) => ({ priority, tokens, withinMs })),
+        clock.monotonicMs(),
       );
       return true;
     };
 
+    const receivers = new Map<unknown, (node: string, fields: RowFields) => boolean>([
+      ['waiting', receiveWaiting],
+      ['needs', receiveNeeds],
+      ['promised', receivePromised],
+    ]);
+
     const share = options.peers.openTopic({
       name: topic,
       // Rows of other kinds are of a later version.
-      receive: (node, fields) =>
-        fields[0] === 'waiting'
-          ? receiveWaiting(node, fields)
-          : fields[0] !== 'needs' || receiveNeeds(node, fields),
-      snapshot: () =>
-        [...services].flatMap(([service, { waitingRow: waiting, sharedNeeds }]) => [
-          waiting,
-          ...(sharedNeeds.length > 0 ? [toNeedsRow(service, sharedNeeds)] : []),
-        ]),
+      receive: (node, fields) => receivers.get(fields[0])?.(node, fields) ?? true,
+      snapshot: () => {
+        const rows: RowFields[] = [];
+        for (const [service, { sharedWaiting, sharedPromises, sharedNeeds }] of services) {
+          rows.push(...[sharedWaiting, sharedPromises].filter((row) => row !== undefined));
+          if (sharedNeeds.length > 0) {
+            rows.push(toNeedsRow(service, sharedNeeds));
+          }
+        }
+        return rows;
+      },
       onNodeLost: (node) => {
-        usedByNode.delete(node);
+        running.forget(node);
         for (const { peers } of services.values()) {
           peers.forget(node);
         }
@@ -184,24 +174,24 @@
 
     const shareWaiting = (service: string, demand: ServiceDemand): void => {
       const nowMs = clock.monotonicMs();
-      const rows: RowFields[] = [];
-      for (const { request, waitUntilMs } of options.waitingHere(service)) {
-        if (rows.length < maxSharedRequests) {
-          const leftMs = Math.max(0, Math.round(request.deadlineAtMs - nowMs));
-          const waitLeftMs = Math.max(0, Math.round(waitUntilMs - nowMs));
-          rows.push([
-            ...[request.priority, request.isReturn, Math.round(request.tokens), leftMs],
-            ...[waitLeftMs, request.account],
-          ]);
-        }
+      const waiting = [...options.waitingHere(service)];
+      if (waiting.length > 0 || demand.sharedWaiting !== undefined) {
+        const row = toWaitingRow(service, waiting, nowMs);
+        demand.sharedWaiting = waiting.length > 0 ? row : undefined;
+        demand.sharedAtMs = nowMs;
+        share(row);
       }
-      const hadRequests = (demand.waitingRow[2] as readonly unknown[]).length > 0;
-      if (rows.length === 0 && !hadRequests) {
-        return;
+    };
+
+    const sharePromises = (service: string, demand: ServiceDemand): void => {
+      const nowMs = clock.monotonicMs();
+      const promised = demand.promises.own(nowMs);
+      if (promised.length > 0 || demand.sharedPromises !== undefined) {
+        const row = toPromisedRow(service, promised);
+        demand.sharedPromises = promised.length > 0 ? row : undefined;
+        demand.sharedAtMs = nowMs;
+        share(row);
       }
-      demand.waitingRow = ['waiting', service, rows];
-      demand.waitingSharedAtMs = nowMs;
-      share(demand.waitingRow);
     };
 
     const shareNeeds = (): void => {
@@ -212,7 +202,7 @@
         demand.peers.updateNeeds(self, needs);
         if (
           nowMs - demand.needsSharedAtMs >= intervalMs &&
-          haveChanged(demand.sharedNeeds, needs)
+          haveNeedsChanged(demand.sharedNeeds, needs)
         ) {
           demand.needsSharedAtMs = nowMs;
           demand.sharedNeeds = needs;
@@ -222,23 +212,34 @@
     };
     const stopNeeds = clock.every(checkNeedsIntervalMs, shareNeeds);
 
+    const urgentRoom: DemandSharing['urgentRoom'] = (service, priority) =>
+      options.peers.isSharedByAll(topic) ? demandOf(service).peers.urgentRoom(priority) : noRoom;
+
+    const rateFor = (service: string, priority: number): number =>
+      rateBeside(
+        demandOf(service).freed.tokensPerMs(clock.monotonicMs()),
+        urgentRoom(service, priority).tokensPerMs,
+      );
+
+    const shareIntervalMs = (): number =>
+      Math.max(minWaitingIntervalMs, waitingIntervalMsPerNode * options.nodeCount());
+
+    const scheduleShare = (service: string): void => {
+      const demand = demandOf(service);
+      if (demand.isScheduled) {
+        return;
+      }
+      demand.isScheduled = true;
+      const dueInMs = demand.sharedAtMs + shareIntervalMs() - clock.monotonicMs();
+      clock.after(Math.max(shareDelayMs, dueInMs), () => {
+        demand.isScheduled = false;
+        shareWaiting(service, demand);
+        sharePromises(service, demand);
+      });
+    };
+
     return {
-      onWaitingChanged: (service) => {
-        const demand = demandOf(service);
-        if (demand.isScheduled) {
-          return;
-        }
-        demand.isScheduled = true;
-        const intervalMs = Math.max(
-          minWaitingIntervalMs,
-          waitingIntervalMsPerNode * options.nodeCount(),
-        );
-        const dueInMs = demand.waitingSharedAtMs + intervalMs - clock.monotonicMs();
-        clock.after(Math.max(shareDelayMs, dueInMs), () => {
-          demand.isScheduled = false;
-          shareWaiting(service, demand);
-        });
-      },
+      onWaitingChanged: scheduleShare,
       recordArrival: (service, { priority, tokens }, maxWaitMs) => {
         demandOf(service).arrivals.record(priority, tokens, maxWaitMs, clock.monotonicMs());
       },
@@ -246,22 +247,31 @@
         options.peers.isSharedByAll(topic)
           ? demandOf(service).peers.tokensAhead(request, tokensOf, clock.monotonicMs())
           : 0,
-      urgentRoom: (service, priority) =>
-        options.peers.isSharedByAll(topic) ? demandOf(service).peers.urgentRoom(priority) : noRoom,
-      onPeerUse: (node, uses) => {
-        const used = new Map<string, number>();
-        for (const { upstream, memoryTokens, copyTokens } of uses) {
-          const service = options.serviceOf(upstream);
-          if (service !== undefined) {
-            used.set(service, (used.get(service) ?? 0) + memoryTokens - copyTokens);
-          }
+      urgentRoom,
+      recordFreed: (service, tokens) => {
+        demandOf(service).freed.record(tokens, clock.monotonicMs());
+      },
+      expectedWaitMs: (service, priority, tokens) => {
+        const tokensPerMs = rateFor(service, priority);
+        return tokensPerMs === 0 ? undefined : tokens / tokensPerMs;
+      },
+      promiseReturn: (service, request) => {
+        const nowMs = clock.monotonicMs();
+        const { promises } = demandOf(service);
+        const tokensPerMs = rateFor(service, request.priority);
+        if (tokensPerMs === 0 || !options.peers.isSharedByAll(topic)) {
+          return undefined;
         }
-        const before = usedByNode.get(node);
-        usedByNode.set(node, used);
-        for (const [service, tokens] of used) {
-          const grown = tokens - (before?.get(service) ?? 0);
-          if (grown > 0 && before !== undefined) {
-            services.get(service)?.peers.recordStarts(node, grown);
+        const unknownMs = options.nodeCount() === 1 ? 0 : shareIntervalMs() + maxDelayMs;
+        scheduleShare(service);
+        return promises.promise(request, { tokensPerMs, unknownMs }, nowMs);
+      },
+      onPeerUse: (node, uses) => {
+        for (const [service, change] of running.update(node, uses)) {
+          if (change > 0) {
+            services.get(service)?.peers.recordStarts(node, change);
+          } else if (change < 0) {
+            demandOf(service).freed.record(-change, clock.monotonicMs());
           }
         }
       },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -221,7 +221,7 @@
       metrics,
       () => demand,
     );
-    const demand: DemandSharing = DemandSharing.create(clock, {
+    const demand: DemandSharing = DemandSharing.create(clock, random, {
       peers,
       nodeCount: () => Math.max(1, cluster.nodes.size),
       waitingHere: queues.waitingFor,
@@ -242,6 +242,7 @@
       responseMemory,
       recordOf: serviceRecords.get,
       queues,
+      demand,
       nodeCount: () => Math.max(1, cluster.nodes.size),
       isWithinRateLimits: (member) => isWithinColdStartLimit(member) && statedLimits.allows(member),
       statements: UpstreamStatements.create(clock, log, cluster.fleet, statedLimits),
--- a/packages/gateway/src/generation-queues.test.ts
+++ b/packages/gateway/src/generation-queues.test.ts
@@ -17,8 +17,9 @@
       () => ({
         onWaitingChanged: () => undefined,
         recordArrival: () => undefined,
+        recordFreed: () => undefined,
         tokensAhead: () => tokensElsewhere,
-        urgentRoom: () => ({ tokens: 0, tokensEach: 0 }),
+        urgentRoom: () => ({ tokens: 0, tokensEach: 0, tokensPerMs: 0 }),
       }),
     );
     let tokensElsewhere = 0;
--- a/packages/gateway/src/generation-queues.ts
+++ b/packages/gateway/src/generation-queues.ts
@@ -5,7 +5,8 @@
   type WaitingAttempt,
   type WaitingRequest,
 } from '@zinniagrade/serving';
-import type { DemandSharing, WaitingHere } from './demand-sharing.js';
+import type { WaitingHere } from './demand-rows.js';
+import type { DemandSharing } from './demand-sharing.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 
@@ -40,7 +41,7 @@
 
 export type DemandOfOthers = Pick<
   DemandSharing,
-  'onWaitingChanged' | 'recordArrival' | 'tokensAhead' | 'urgentRoom'
+  'onWaitingChanged' | 'recordArrival' | 'recordFreed' | 'tokensAhead' | 'urgentRoom'
 >;
 
 interface ServiceQueue {
@@ -233,6 +234,9 @@
       wake,
       recordUse: (service, account, tokens) => {
         const { tokensByAccount } = queueOf(service);
+        if (tokens < 0) {
+          demand().recordFreed(service, -tokens);
+        }
         const sum = (tokensByAccount.get(account) ?? 0) + tokens;
         if (sum > 0) {
           tokensByAccount.set(account, sum);
--- a/packages/gateway/src/stream-admission.ts
+++ b/packages/gateway/src/stream-admission.ts
@@ -48,7 +48,7 @@
 
 /** A decision without the room of others: what it would refuse is refused, what it would start waits. */
 const keepIfRefused = (admission: Admission): Admission =>
-  admission.kind === 'placed' ? { kind: 'no-memory' } : admission;
+  admission.kind === 'placed' ? { kind: 'no-memory', lackingTokens: 0 } : admission;
 
 export const StreamAdmission = {
   create: (context: ServingContext, call: Call, placement: StreamPlacement): StreamAdmission => {
@@ -63,6 +63,7 @@
 
     const waitUntilMs = arrivedAtMs + maxWaitMs;
     const tokens = placement.expectedTokens(0);
+    const priority = requestPriority(route, call.account);
     const accountName = call.account?.name ?? '';
     let isUseRecorded = false;
 
@@ -93,7 +94,13 @@
     const retryAfterMs = (): number => {
       const nowMs = clock.monotonicMs();
       const maxRetryAfterMs = (call.callerDeadlineAtMs - nowMs) * maxRetryAfterShare;
-      return returnTimes.reserveWaitMs(tokens, nowMs, maxRetryAfterMs);
+      return (
+        context.demand.promiseReturn(service.name, {
+          priority,
+          tokens,
+          maxWaitMs: maxRetryAfterMs,
+        }) ?? returnTimes.reserveWaitMs(tokens, nowMs, maxRetryAfterMs)
+      );
     };
 
     /** Why the request can't be served, whether it waits or not. */
@@ -133,6 +140,13 @@
       }
     };
 
+    /** Whether the missing memory is expected to become free within the time that is left to wait. */
+    const canWait = (lackingTokens: number): boolean => {
+      const leftMs = waitUntilMs - clock.monotonicMs();
+      const expectedMs = context.demand.expectedWaitMs(service.name, priority, lackingTokens) ?? 0;
+      return leftMs > 0 && expectedMs <= leftMs;
+    };
+
     const recordUse = (): void => {
       if (isUseRecorded) {
         return;
@@ -160,13 +174,14 @@
           onPlaced(admission.member);
           return { kind: 'left', started: true };
         }
-        if (admission.kind === 'no-memory' && clock.monotonicMs() < waitUntilMs) {
+        if (admission.kind === 'no-memory' && canWait(admission.lackingTokens)) {
           const { roomiestEngine } = admission;
           return roomiestEngine === undefined
             ? { kind: 'waits' }
             : { kind: 'waits', savedEngine: roomiestEngine };
         }
-        onRefused(failureOf(admission), admission.kind);
+        const isEarly = admission.kind === 'no-memory' && clock.monotonicMs() < waitUntilMs;
+        onRefused(failureOf(admission), isEarly ? 'no-memory-in-time' : admission.kind);
         return { kind: 'left', started: false };
       };
       if (call.isEnded()) {
@@ -175,7 +190,7 @@
       context.queues.add(service.name, {
         requestId: call.request.id,
         request: {
-          priority: requestPriority(route, call.account),
+          priority,
           isReturn: isRetry,
           account: accountName,
           tokens,
@@ -183,7 +198,7 @@
         },
         attempt,
         giveUp: () => {
-          onRefused(failureOf({ kind: 'no-memory' }), 'no-memory');
+          onRefused(failureOf({ kind: 'no-memory', lackingTokens: 0 }), 'no-memory');
         },
         waitUntilMs,
         hasPriority:
--- a/packages/serving/src/admission.test.ts
+++ b/packages/serving/src/admission.test.ts
@@ -14,7 +14,7 @@
   reserveShare: 0,
   firstEventWithinMs: Infinity,
   tokensAhead: 0,
-  urgentRoom: { tokens: 0, tokensEach: 0 },
+  urgentRoom: { tokens: 0, tokensEach: 0, tokensPerMs: 0 },
 };
 
 const createEngines = (count: number): readonly FleetMember[] => {
--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -29,8 +29,15 @@
 export type Admission =
   | { readonly kind: 'placed'; readonly member: FleetMember }
   | { readonly kind: 'no-engine' }
-  /** `roomiestEngine` is set if the memory of all engines together would do. */
-  | { readonly kind: 'no-memory'; readonly roomiestEngine?: string }
+  /**
+   * The memory of all engines together falls short by `lackingTokens`; if it would do, none of them
+   * has room, and `roomiestEngine` is set.
+   */
+  | {
+      readonly kind: 'no-memory';
+      readonly lackingTokens: number;
+      readonly roomiestEngine?: string;
+    }
   /** Even at the fastest engine the first event would exceed the limit by `lateByMs`. */
   | { readonly kind: 'late'; readonly lateByMs: number };
 
@@ -108,14 +115,14 @@
     return { kind: 'no-engine' };
   }
   const tokens = need.promptTokens + need.outputTokens;
-  const needShare =
-    (tokens + limits.tokensAhead + limits.urgentRoom.tokens) /
-    Math.max(1, usable.length * engineMemoryTokens);
-  if (
-    runningMemoryShare(usable, engineMemoryTokens, constraints) + needShare >
-    1 - limits.reserveShare
-  ) {
-    return { kind: 'no-memory' };
+  const totalTokens = Math.max(1, usable.length * engineMemoryTokens);
+  const needShare = (tokens + limits.tokensAhead + limits.urgentRoom.tokens) / totalTokens;
+  const lackingShare =
+    runningMemoryShare(usable, engineMemoryTokens, constraints) +
+    needShare -
+    (1 - limits.reserveShare);
+  if (lackingShare > 0) {
+    return { kind: 'no-memory', lackingTokens: lackingShare * totalTokens };
   }
   const withFreeMemory = leaveUrgentRoom(
     usable,
@@ -129,7 +136,7 @@
   );
   if (withFreeMemory.length === 0) {
     const roomiest = roomiestOf(usable, engineMemoryTokens, constraints);
-    return { kind: 'no-memory', roomiestEngine: roomiest };
+    return { kind: 'no-memory', lackingTokens: 0, roomiestEngine: roomiest };
   }
   const typicalMsPerToken = typicalMsPerPromptToken(members);
   let earliestMs = Infinity;
--- a/packages/serving/src/peer-demand.ts
+++ b/packages/serving/src/peer-demand.ts
@@ -12,6 +12,8 @@
   readonly tokens: number;
   /** The largest of the urgent requests, which needs this on a single engine. */
   readonly tokensEach: number;
+  /** Rate at which urgent requests take what others free. */
+  readonly tokensPerMs: number;
 }
 
 /**
@@ -93,15 +95,17 @@
       urgentRoom: (priority) => {
         let tokens = 0;
         let tokensEach = 0;
+        let tokensPerMs = 0;
         for (const needs of needsByNode.values()) {
           for (const need of needs) {
             if (need.priority < priority) {
               tokens += need.tokens;
               tokensEach = Math.max(tokensEach, need.tokensEach);
+              tokensPerMs += need.tokensPerMs;
             }
           }
         }
-        return { tokens, tokensEach };
+        return { tokens, tokensEach, tokensPerMs };
       },
     };
   },
--- a/packages/serving/src/urgent-arrivals.ts
+++ b/packages/serving/src/urgent-arrivals.ts
@@ -4,6 +4,8 @@
   readonly tokens: number;
   /** The largest of them. */
   readonly tokensEach: number;
+  /** Rate at which they take memory. */
+  readonly tokensPerMs: number;
 }
 
 /**
@@ -46,6 +48,7 @@
             priority,
             tokens: (before?.tokens ?? 0) + (tokens * maxWaitMs) / windowMs,
             tokensEach: Math.max(before?.tokensEach ?? 0, tokens),
+            tokensPerMs: (before?.tokensPerMs ?? 0) + tokens / windowMs,
           });
         }
         return [...needs.values()];
@@ -53,3 +56,22 @@
     };
   },
 };
+
+/** Needs that changed by less are not worth telling other nodes. */
+const needsTolerance = 0.25;
+
+const isNear = (now: number, before: number): boolean =>
+  Math.abs(now - before) <= needsTolerance * before;
+
+/** Whether other nodes should learn of the needs as they are now. */
+export const haveNeedsChanged = (
+  before: readonly UrgentNeed[],
+  now: readonly UrgentNeed[],
+): boolean =>
+  before.length !== now.length ||
+  now.some(({ priority, tokens, tokensEach }) => {
+    const known = before.find((need) => need.priority === priority);
+    return (
+      known === undefined || !isNear(tokensEach, known.tokensEach) || !isNear(tokens, known.tokens)
+    );
+  });
--- a/packages/serving/src/waiting-queue.ts
+++ b/packages/serving/src/waiting-queue.ts
@@ -56,7 +56,7 @@
 export const noRoomAhead: RoomAhead = {
   tokens: 0,
   savedEngines: new Set(),
-  urgentRoom: { tokens: 0, tokensEach: 0 },
+  urgentRoom: { tokens: 0, tokensEach: 0, tokensPerMs: 0 },
 };
 
 /**
