--- a/packages/serving/src/admission.test.ts
+++ b/packages/serving/src/admission.test.ts
@@ -140,6 +140,30 @@
     expect(admission).to.deep.equal({ kind: 'late', lateByMs: 4000 });
   });
 
+  it('keeps engines with room for urgent requests from being filled', () => {
+    // Guards against free memory that is spread over all engines in parts too small for any request,
+    // so that engines preempt long streams for urgent requests.
+    const members = createEngines(4);
+    const urgentRoom = { tokens: 8000, tokensEach: 4000, tokensPerMs: 0 };
+    fill(members, { ...unlimited, urgentRoom }, true);
+    const roomy = members.filter(({ ownRuns }) => {
+      let used = 0;
+      for (const { expectedTokens } of ownRuns.values()) {
+        used += expectedTokens;
+      }
+      return used + urgentRoom.tokensEach <= engineTokens;
+    });
+    expect(roomy.length).to.be.at.least(2);
+  });
+
+  it('leaves engines not idle for urgent requests that may wait long', () => {
+    const members = createEngines(4);
+    const urgentRoom = { tokens: 1e6, tokensEach: 4000, tokensPerMs: 0 };
+    const { count } = fill(members, { ...unlimited, urgentRoom }, true);
+    const perEngine = Math.floor(engineTokens / (need.promptTokens + need.outputTokens));
+    expect(count).to.be.at.least(0.7 * 4 * perEngine);
+  });
+
   it('reports that no engine is usable', () => {
     expect(fill([], unlimited, true)).to.deep.equal({ count: 0, kind: 'no-engine' });
   });
--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -64,6 +64,11 @@
   return roomiest;
 };
 
+/**
+ * Urgent requests that may wait long would otherwise keep all memory free, and engines idle, as what
+ * they need is measured over the time that they may wait.
+ */
+const maxUrgentShare = 0.25;
 /** At most this share of the engines is kept from being filled by less urgent requests. */
 const maxKeptEnginesShare = 0.5;
 
@@ -116,7 +121,8 @@
   }
   const tokens = need.promptTokens + need.outputTokens;
   const totalTokens = Math.max(1, usable.length * engineMemoryTokens);
-  const needShare = (tokens + limits.tokensAhead + limits.urgentRoom.tokens) / totalTokens;
+  const urgentTokens = Math.min(limits.urgentRoom.tokens, maxUrgentShare * totalTokens);
+  const needShare = (tokens + limits.tokensAhead + urgentTokens) / totalTokens;
   const lackingShare =
     runningMemoryShare(usable, engineMemoryTokens, constraints) +
     needShare -
