--- a/packages/gateway/src/demand-sharing.ts
+++ b/packages/gateway/src/demand-sharing.ts
@@ -44,6 +44,8 @@
     request: WaitingRequest,
     tokensOf: TokensOfAccount,
   ) => number;
+  /** Whether requests wait for a service at other nodes. */
+  readonly isWaitedFor: (service: string) => boolean;
   readonly urgentRoom: (service: string, priority: number) => UrgentRoom;
   /** Records memory that a generation of this node has freed. */
   readonly recordFreed: (service: string, tokens: number) => void;
@@ -63,8 +65,8 @@
 const topic = 'demand';
 /** Requests wait for 0.75 s and longer; all nodes should know of them for most of that time. */
 const minWaitingIntervalMs = 500;
-/** Bounds the rows that a node receives to 200 a second, about 12 KB. */
-const waitingIntervalMsPerNode = 5;
+/** Bounds the rows of each kind that a node receives to 125 a second, about 6 KB. */
+const waitingIntervalMsPerNode = 8;
 /** What urgent requests need is measured over 10 s. */
 const minNeedsIntervalMs = 5000;
 const needsIntervalMsPerNode = 20;
@@ -247,6 +249,7 @@
         options.peers.isSharedByAll(topic)
           ? demandOf(service).peers.tokensAhead(request, tokensOf, clock.monotonicMs())
           : 0,
+      isWaitedFor: (service) => demandOf(service).peers.isWaiting(clock.monotonicMs()),
       urgentRoom,
       recordFreed: (service, tokens) => {
         demandOf(service).freed.record(tokens, clock.monotonicMs());
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,7 @@
 import { Random, type Clock } from '@zinniagrade/clock';
 import { isBelowColdLimit, quarantineMs, type FleetMember } from '@zinniagrade/serving';
 import type { ServingContext } from './call.js';
+import { AccountSharing } from './account-sharing.js';
 import { DemandSharing } from './demand-sharing.js';
 import { chooseAddresses, createDirectoryServer } from './directory.js';
 import { CallerServer } from './caller-server.js';
@@ -220,7 +221,15 @@
       log,
       metrics,
       () => demand,
+      () => accounts,
     );
+    const accounts: AccountSharing = AccountSharing.create(clock, {
+      peers,
+      nodeCount: () => Math.max(1, cluster.nodes.size),
+      isWaitedFor: (service) =>
+        queues.waitingFor(service)[Symbol.iterator]().next().done !== true ||
+        demand.isWaitedFor(service),
+    });
     const demand: DemandSharing = DemandSharing.create(clock, random, {
       peers,
       nodeCount: () => Math.max(1, cluster.nodes.size),
@@ -480,6 +489,7 @@
         stopTicks();
         queues.stop();
         demand.stop();
+        accounts.stop();
         memoryWatch.stop();
         memory.stop();
         unread.stop();
--- a/packages/gateway/src/generation-queues.test.ts
+++ b/packages/gateway/src/generation-queues.test.ts
@@ -21,6 +21,7 @@
         tokensAhead: () => tokensElsewhere,
         urgentRoom: () => ({ tokens: 0, tokensEach: 0, tokensPerMs: 0 }),
       }),
+      () => ({ add: () => undefined, tokensOf: () => 0, stepOf: () => 0 }),
     );
     let tokensElsewhere = 0;
     const events: string[] = [];
--- a/packages/gateway/src/generation-queues.ts
+++ b/packages/gateway/src/generation-queues.ts
@@ -5,6 +5,7 @@
   type WaitingAttempt,
   type WaitingRequest,
 } from '@zinniagrade/serving';
+import type { AccountSharing } from './account-sharing.js';
 import type { WaitingHere } from './demand-rows.js';
 import type { DemandSharing } from './demand-sharing.js';
 import type { Log } from './log.js';
@@ -47,7 +48,6 @@
 interface ServiceQueue {
   readonly queue: WaitingQueue;
   readonly generations: Map<string, QueuedGeneration>;
-  readonly tokensByAccount: Map<string, number>;
   isServing: boolean;
 }
 
@@ -61,9 +61,6 @@
 /** For room that appears without a message, as when the time to avoid an engine is over. */
 const fallbackIntervalMs = 250;
 
-/** Nodes don't know what client accounts have in flight at others, and so don't order by it. */
-const noTokens = (): number => 0;
-
 export const GenerationQueues = {
   create: (
     clock: Clock,
@@ -71,6 +68,7 @@
     log: Log,
     metrics: Metrics,
     demand: () => DemandOfOthers,
+    accounts: () => Omit<AccountSharing, 'stop'>,
   ): GenerationQueues => {
     const services = new Map<string, ServiceQueue>();
     let isScheduled = false;
@@ -82,11 +80,11 @@
       if (known !== undefined) {
         return known;
       }
-      const tokensByAccount = new Map<string, number>();
       const created: ServiceQueue = {
-        queue: WaitingQueue.create(maxQueueLength, (account) => tokensByAccount.get(account) ?? 0),
+        queue: WaitingQueue.create(maxQueueLength, (account) =>
+          accounts().tokensOf(service, account),
+        ),
         generations: new Map(),
-        tokensByAccount,
         isServing: false,
       };
       services.set(service, created);
@@ -105,7 +103,9 @@
       const others = demand();
       return {
         ...ahead,
-        tokens: ahead.tokens + others.tokensAhead(name, request, noTokens),
+        tokens:
+          ahead.tokens +
+          others.tokensAhead(name, request, (account) => accounts().stepOf(name, account)),
         urgentRoom: others.urgentRoom(name, request.priority),
       };
     };
@@ -233,16 +233,10 @@
       },
       wake,
       recordUse: (service, account, tokens) => {
-        const { tokensByAccount } = queueOf(service);
         if (tokens < 0) {
           demand().recordFreed(service, -tokens);
         }
-        const sum = (tokensByAccount.get(account) ?? 0) + tokens;
-        if (sum > 0) {
-          tokensByAccount.set(account, sum);
-        } else {
-          tokensByAccount.delete(account);
-        }
+        accounts().add(service, account, tokens);
       },
       stop: stopFallback,
     };
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,3 +1,4 @@
+export * from './account-use.js';
 export * from './admission.js';
 export * from './cold-limit.js';
 export type * from './configuration.js';
--- a/packages/serving/src/peer-demand.ts
+++ b/packages/serving/src/peer-demand.ts
@@ -39,6 +39,8 @@
     tokensOf: TokensOfAccount,
     nowMs: number,
   ) => number;
+  /** Whether requests wait at other nodes. */
+  readonly isWaiting: (nowMs: number) => boolean;
   /** Memory that other nodes need for their requests more urgent than this priority. */
   readonly urgentRoom: (priority: number) => UrgentRoom;
 }
@@ -92,6 +94,14 @@
         }
         return tokens;
       },
+      isWaiting: (nowMs) => {
+        for (const waiting of waitingByNode.values()) {
+          if (waiting.some(({ waitUntilMs }) => waitUntilMs > nowMs)) {
+            return true;
+          }
+        }
+        return false;
+      },
       urgentRoom: (priority) => {
         let tokens = 0;
         let tokensEach = 0;
