--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -93,7 +93,8 @@
     memoryShare(member, tokens, engineMemoryTokens, constraints) < maxMemoryShare;
   const roomy = usable.filter((member) => fits(member, urgentNeed)).length;
   const kept = Math.min(
-    Math.ceil(urgentRoom.tokens / urgentRoom.tokensEach),
+    // Rounded, so that a few engines aren't kept for a request that comes now and then.
+    Math.round(urgentRoom.tokens / urgentRoom.tokensEach),
     Math.floor(maxKeptEnginesShare * usable.length),
   );
   return roomy > kept ? candidates : candidates.filter((member) => fits(member, bothNeed));
