--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,7 @@
 import { Random, type Clock } from '@zinniagrade/clock';
 import { quarantineMs } from '@zinniagrade/serving';
 import type { ServingContext } from './call.js';
+import { AccountSharing } from './account-sharing.js';
 import { DemandSharing } from './demand-sharing.js';
 import { chooseAddresses, createDirectoryServer } from './directory.js';
 import { CallerServer } from './caller-server.js';
@@ -252,8 +253,16 @@
       log,
       metrics,
       () => demand,
+      () => accounts,
     );
-    const demand: DemandSharing = DemandSharing.create(clock, {
+    const accounts: AccountSharing = AccountSharing.create(clock, {
+      peers,
+      nodeCount: () => Math.max(1, cluster.nodes.size),
+      isWaitedFor: (service) =>
+        queues.waitingFor(service)[Symbol.iterator]().next().done !== true ||
+        demand.isWaitedFor(service),
+    });
+    const demand: DemandSharing = DemandSharing.create(clock, random, {
       peers,
       nodeCount: () => Math.max(1, cluster.nodes.size),
       waitingHere: queues.waitingFor,
@@ -274,6 +283,7 @@
       responseMemory,
       recordOf: serviceRecords.get,
       queues,
+      demand,
       nodeCount: () => Math.max(1, cluster.nodes.size),
       isWithinRateLimits: (member) =>
         coldLimits.allows(member) && statedLimits.allows(member) && pace.allows(member),
@@ -510,6 +520,7 @@
         stopTicks();
         queues.stop();
         demand.stop();
+        accounts.stop();
         memoryWatch.stop();
         memory.stop();
         unread.stop();
--- a/packages/gateway/src/generation-queues.test.ts
+++ b/packages/gateway/src/generation-queues.test.ts
@@ -17,9 +17,11 @@
       () => ({
         onWaitingChanged: () => undefined,
         recordArrival: () => undefined,
+        recordFreed: () => undefined,
         tokensAhead: () => tokensElsewhere,
-        urgentRoom: () => ({ tokens: 0, tokensEach: 0 }),
+        urgentRoom: () => ({ tokens: 0, tokensEach: 0, tokensPerMs: 0 }),
       }),
+      () => ({ add: () => undefined, tokensOf: () => 0, stepOf: () => 0 }),
     );
     let tokensElsewhere = 0;
     const events: string[] = [];
--- a/packages/gateway/src/generation-queues.ts
+++ b/packages/gateway/src/generation-queues.ts
@@ -5,7 +5,9 @@
   type WaitingAttempt,
   type WaitingRequest,
 } from '@zinniagrade/serving';
-import type { DemandSharing, WaitingHere } from './demand-sharing.js';
+import type { AccountSharing } from './account-sharing.js';
+import type { WaitingHere } from './demand-rows.js';
+import type { DemandSharing } from './demand-sharing.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 
@@ -40,13 +42,12 @@
 
 export type DemandOfOthers = Pick<
   DemandSharing,
-  'onWaitingChanged' | 'recordArrival' | 'tokensAhead' | 'urgentRoom'
+  'onWaitingChanged' | 'recordArrival' | 'recordFreed' | 'tokensAhead' | 'urgentRoom'
 >;
 
 interface ServiceQueue {
   readonly queue: WaitingQueue;
   readonly generations: Map<string, QueuedGeneration>;
-  readonly tokensByAccount: Map<string, number>;
   isServing: boolean;
 }
 
@@ -60,9 +61,6 @@
 /** For room that appears without a message, as when the time to avoid an engine is over. */
 const fallbackIntervalMs = 250;
 
-/** Nodes don't know what client accounts have in flight at others, and so don't order by it. */
-const noTokens = (): number => 0;
-
 export const GenerationQueues = {
   create: (
     clock: Clock,
@@ -70,6 +68,7 @@
     log: Log,
     metrics: Metrics,
     demand: () => DemandOfOthers,
+    accounts: () => Omit<AccountSharing, 'stop'>,
   ): GenerationQueues => {
     const services = new Map<string, ServiceQueue>();
     let isScheduled = false;
@@ -81,11 +80,11 @@
       if (known !== undefined) {
         return known;
       }
-      const tokensByAccount = new Map<string, number>();
       const created: ServiceQueue = {
-        queue: WaitingQueue.create(maxQueueLength, (account) => tokensByAccount.get(account) ?? 0),
+        queue: WaitingQueue.create(maxQueueLength, (account) =>
+          accounts().tokensOf(service, account),
+        ),
         generations: new Map(),
-        tokensByAccount,
         isServing: false,
       };
       services.set(service, created);
@@ -104,7 +103,9 @@
       const others = demand();
       return {
         ...ahead,
-        tokens: ahead.tokens + others.tokensAhead(name, request, noTokens),
+        tokens:
+          ahead.tokens +
+          others.tokensAhead(name, request, (account) => accounts().stepOf(name, account)),
         urgentRoom: others.urgentRoom(name, request.priority),
       };
     };
@@ -232,13 +233,10 @@
       },
       wake,
       recordUse: (service, account, tokens) => {
-        const { tokensByAccount } = queueOf(service);
-        const sum = (tokensByAccount.get(account) ?? 0) + tokens;
-        if (sum > 0) {
-          tokensByAccount.set(account, sum);
-        } else {
-          tokensByAccount.delete(account);
+        if (tokens < 0) {
+          demand().recordFreed(service, -tokens);
         }
+        accounts().add(service, account, tokens);
       },
       stop: stopFallback,
     };
--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -29,8 +29,15 @@
 export type Admission =
   | { readonly kind: 'placed'; readonly member: FleetMember }
   | { readonly kind: 'no-engine' }
-  /** `roomiestEngine` is set if the memory of all engines together would do. */
-  | { readonly kind: 'no-memory'; readonly roomiestEngine?: string }
+  /**
+   * The memory of all engines together falls short by `lackingTokens`; if it would do, none of them
+   * has room, and `roomiestEngine` is set.
+   */
+  | {
+      readonly kind: 'no-memory';
+      readonly lackingTokens: number;
+      readonly roomiestEngine?: string;
+    }
   /** Even at the fastest engine the first event would exceed the limit by `lateByMs`. */
   | { readonly kind: 'late'; readonly lateByMs: number };
 
@@ -57,6 +64,11 @@
   return roomiest;
 };
 
+/**
+ * Urgent requests that may wait long would otherwise keep all memory free, and engines idle, as what
+ * they need is measured over the time that they may wait.
+ */
+const maxUrgentShare = 0.25;
 /** At most this share of the engines is kept from being filled by less urgent requests. */
 const maxKeptEnginesShare = 0.5;
 
@@ -81,7 +93,8 @@
     memoryShare(member, tokens, engineMemoryTokens, constraints) < maxMemoryShare;
   const roomy = usable.filter((member) => fits(member, urgentNeed)).length;
   const kept = Math.min(
-    Math.ceil(urgentRoom.tokens / urgentRoom.tokensEach),
+    // Rounded, so that a few engines aren't kept for a request that comes now and then.
+    Math.round(urgentRoom.tokens / urgentRoom.tokensEach),
     Math.floor(maxKeptEnginesShare * usable.length),
   );
   return roomy > kept ? candidates : candidates.filter((member) => fits(member, bothNeed));
@@ -108,14 +121,15 @@
     return { kind: 'no-engine' };
   }
   const tokens = need.promptTokens + need.outputTokens;
-  const needShare =
-    (tokens + limits.tokensAhead + limits.urgentRoom.tokens) /
-    Math.max(1, usable.length * engineMemoryTokens);
-  if (
-    runningMemoryShare(usable, engineMemoryTokens, constraints) + needShare >
-    1 - limits.reserveShare
-  ) {
-    return { kind: 'no-memory' };
+  const totalTokens = Math.max(1, usable.length * engineMemoryTokens);
+  const urgentTokens = Math.min(limits.urgentRoom.tokens, maxUrgentShare * totalTokens);
+  const needShare = (tokens + limits.tokensAhead + urgentTokens) / totalTokens;
+  const lackingShare =
+    runningMemoryShare(usable, engineMemoryTokens, constraints) +
+    needShare -
+    (1 - limits.reserveShare);
+  if (lackingShare > 0) {
+    return { kind: 'no-memory', lackingTokens: lackingShare * totalTokens };
   }
   const withFreeMemory = leaveUrgentRoom(
     usable,
@@ -129,7 +143,7 @@
   );
   if (withFreeMemory.length === 0) {
     const roomiest = roomiestOf(usable, engineMemoryTokens, constraints);
-    return { kind: 'no-memory', roomiestEngine: roomiest };
+    return { kind: 'no-memory', lackingTokens: 0, roomiestEngine: roomiest };
   }
   const typicalMsPerToken = typicalMsPerPromptToken(members);
   let earliestMs = Infinity;
--- a/packages/serving/src/peer-demand.ts
+++ b/packages/serving/src/peer-demand.ts
@@ -12,6 +12,8 @@
   readonly tokens: number;
   /** The largest of the urgent requests, which needs this on a single engine. */
   readonly tokensEach: number;
+  /** Rate at which urgent requests take what others free. */
+  readonly tokensPerMs: number;
 }
 
 /**
@@ -37,6 +39,8 @@
     tokensOf: TokensOfAccount,
     nowMs: number,
   ) => number;
+  /** Whether requests wait at other nodes. */
+  readonly isWaiting: (nowMs: number) => boolean;
   /** Memory that other nodes need for their requests more urgent than this priority. */
   readonly urgentRoom: (priority: number) => UrgentRoom;
 }
@@ -90,18 +94,28 @@
         }
         return tokens;
       },
+      isWaiting: (nowMs) => {
+        for (const waiting of waitingByNode.values()) {
+          if (waiting.some(({ waitUntilMs }) => waitUntilMs > nowMs)) {
+            return true;
+          }
+        }
+        return false;
+      },
       urgentRoom: (priority) => {
         let tokens = 0;
         let tokensEach = 0;
+        let tokensPerMs = 0;
         for (const needs of needsByNode.values()) {
           for (const need of needs) {
             if (need.priority < priority) {
               tokens += need.tokens;
               tokensEach = Math.max(tokensEach, need.tokensEach);
+              tokensPerMs += need.tokensPerMs;
             }
           }
         }
-        return { tokens, tokensEach };
+        return { tokens, tokensEach, tokensPerMs };
       },
     };
   },
