--- a/packages/duties/src/usage.test.ts
+++ b/packages/duties/src/usage.test.ts
@@ -26,6 +26,11 @@
       clock.record(node, differenceMs);
     }
     expect(clock.offsetMs()).to.equal(1990);
+    // Rows that waited while this process was suspended.
+    for (const node of ['a', 'b', 'c']) {
+      clock.record(node, -3000);
+    }
+    expect(clock.offsetMs()).to.equal(1990);
   });
 });
 
