--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -136,6 +136,11 @@
           : peers.rankFor(subject, holdersTopic),
       storeRevision: () => (mirror.isComplete() ? mirror.revision() : undefined),
     });
+    holder.onChange((subject) => {
+      if (holder.grantOf(subject) !== undefined) {
+        keys.connect();
+      }
+    });
     const client = recordActs(keys.client, holder, log, metrics);
     const usage = createUsageDuty(platform, clock, random, log, options, holder, client);
     return {
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -10,6 +10,8 @@
 /** Calls of duties, and the store keys and values of what one node does for all. */
 export interface DutyPlatform {
   readonly client: DutyClient;
+  /** Opens the connection for calls ahead. */
+  readonly connect: () => void;
   /** Store key of the holder of a subject. */
   readonly holderKey: (subject: string) => string;
   readonly encodeHolder: (holder: StoredHolder) => Buffer;
