--- a/packages/duties/src/scaling.test.ts
+++ b/packages/duties/src/scaling.test.ts
@@ -29,6 +29,8 @@
   readonly reclaimedShare?: number;
   readonly firstCount: number;
   readonly knowsWaiting?: boolean;
+  /** Part of the capacity that new streams leave free. */
+  readonly reserveShare?: number;
   readonly withdrawn?: (atMs: number) => readonly string[];
 }
 
@@ -80,7 +82,8 @@
       serving += open.includes(name) ? site.upstreams.filter((atMs) => atMs <= nowMs).length : 0;
       billed += site.upstreams.length + site.leaving.length;
     }
-    while (waiting.length > 0 && ends.length < serving * streamsPerUpstream) {
+    const admitted = serving * (1 - (scenario.reserveShare ?? 0));
+    while (waiting.length > 0 && ends.length < admitted * streamsPerUpstream) {
       waiting.shift();
       ends.push(nowMs + streamMs * (0.5 + random()));
     }
@@ -94,6 +97,7 @@
         load: ends.length / streamsPerUpstream,
         waiting: scenario.knowsWaiting === false ? undefined : waiting.length / streamsPerUpstream,
         serving,
+        reserveShare: scenario.reserveShare ?? 0,
         localLoad: ends.length / streamsPerUpstream / dataCentres.length,
         localServing,
         isWhole: true,
@@ -143,6 +147,22 @@
     });
   }
 
+  it('orders more where new streams leave a part of the capacity free', () => {
+    // Guards against upstreams that never look full while callers are refused.
+    const outcome = replay({
+      durationMs: 160_000,
+      // Slow enough not to be answered as growth.
+      rate: (atMs) => Math.min(8, atMs / 10_000),
+      firstCount: 7,
+      knowsWaiting: false,
+      reserveShare: 0.3,
+    });
+    for (const { orders } of outcome.sites.values()) {
+      expect(orders.at(-1)?.count).to.be.at.least(8);
+    }
+    expect(outcome.refused / outcome.arrived).to.be.lessThan(0.02);
+  });
+
   it('orders more where upstreams are reclaimed, and not for each that is', () => {
     // Guards against orders for upstreams that the platform replaces by itself.
     const scenario = { durationMs: 240_000, rate: wave, reclaimedShare: 0.17, firstCount: 9 };
@@ -196,6 +216,7 @@
       load: 0,
       waiting: 0,
       serving: 4,
+      reserveShare: 0,
       localLoad,
       localServing: 4,
       isWhole: true,
@@ -213,7 +234,15 @@
     const play = (isWhole: (atMs: number) => boolean): number | undefined => {
       let state = initialScalingState;
       const sampleAt = (atMs: number): ScalingSample => ({
-        ...{ atMs, load: 0, waiting: 0, serving: 4, localLoad: 0, localServing: 4 },
+        ...{
+          atMs,
+          load: 0,
+          waiting: 0,
+          serving: 4,
+          reserveShare: 0,
+          localLoad: 0,
+          localServing: 4,
+        },
         isWhole: isWhole(atMs),
       });
       for (let atMs = 0; atMs <= 40_000; atMs += 500) {
@@ -233,6 +262,7 @@
       load,
       waiting: 0,
       serving: localServing,
+      reserveShare: 0,
       localLoad: load,
       localServing,
       isWhole: true,
--- a/packages/duties/src/scaling.ts
+++ b/packages/duties/src/scaling.ts
@@ -24,6 +24,8 @@
   readonly waiting: number | undefined;
   /** Upstreams of the service that take new requests, in all data centres. */
   readonly serving: number;
+  /** Share of the capacity that new requests leave free for those of upstreams that leave. */
+  readonly reserveShare: number;
   /** Load of the upstreams in the data centre that the order is for. */
   readonly localLoad: number;
   /** Upstreams in that data centre that take new requests. */
@@ -78,6 +80,8 @@
 const plannedShare = 0.75;
 /** Time without need for an upstream before it is given back; covers three waves of 10 s. */
 const calmMs = 30_000;
+/** Part of what new requests may use at all that is planned to be in use, as the rest is refused. */
+const plannedAdmittedShare = 0.9;
 /** Load in relation to the expected one for which an upstream less must do, against flapping. */
 const stepDownMargin = 1.08;
 /** Time between two steps down, in which the streams of one upstream move to others. */
@@ -101,6 +105,8 @@
 const hiddenDemandFactor = 1.25;
 /** Time constant of the availability: a reclaimed upstream is replaced within about 6 s. */
 const availabilityTimeMs = 20_000;
+/** Bounds what is ordered in addition for a reserve. */
+const maxReserveShare = 0.5;
 /** Bounds what is ordered in addition when upstreams don't appear at all. */
 const minAvailability = 0.5;
 /** Time in addition to the stated boot time until a new upstream counts as missing. */
@@ -199,15 +205,17 @@
   sharing: LoadSharing,
 ): ScalingState => {
   const availability = smoothAvailability(state, sample, limits.bootMs);
+  const admittedShare = 1 - Math.min(maxReserveShare, sample.reserveShare);
   const current = {
     atMs: sample.atMs,
     load: sample.load + (sample.waiting ?? 0),
-    isFull: sample.load >= fullShare * sample.serving,
+    isFull: sample.load >= fullShare * admittedShare * sample.serving,
     localServing: sample.localServing,
   };
   const kept = state.observations.filter(({ atMs }) => atMs >= sample.atMs - calmMs);
   const forecast = forecastLoad([...kept, current], sample, limits.bootMs);
-  const upstreams = forecast / plannedShare / Math.max(minAvailability, availability);
+  const inUse = Math.min(plannedShare, plannedAdmittedShare * admittedShare);
+  const upstreams = forecast / inUse / Math.max(minAvailability, availability);
   const countFor = (total: number): number =>
     clampTo(limits, shareOfDataCentre(Math.ceil(total), sharing));
   const observation = {
--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -23,6 +23,8 @@
   readonly isLeaving: () => boolean;
   /** Tokens of generations of a service that wait at all nodes; undefined if nodes don't tell. */
   readonly waitingTokens?: (service: string) => number | undefined;
+  /** Share of the memory of this many engines that new streams leave free. */
+  readonly reserveShare: (service: string, engineCount: number) => number;
 }
 
 /** Calls to the platform that one node makes for all. */
@@ -115,7 +117,7 @@
   { settings: { node, duties } }: Platform,
   clock: Clock,
   log: Log,
-  { cluster, peers, metrics, waitingTokens = () => undefined }: DutiesOptions,
+  { cluster, peers, metrics, reserveShare, waitingTokens = () => undefined }: DutiesOptions,
   holder: DutyHolder,
   client: DutyClient,
 ): UpstreamOrders | undefined => {
@@ -128,7 +130,10 @@
     return undefined;
   }
   const scalingMetrics = ScalingMetrics.create(metrics.registry);
-  const options = { node, holder, client, peers, maxCallsPerSecond, waitingTokens };
+  const options = {
+    ...{ node, holder, client, peers, maxCallsPerSecond },
+    ...{ waitingTokens, reserveShare },
+  };
   return UpstreamOrders.create(clock, log, scalingMetrics, cluster, options);
 };
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -208,6 +208,8 @@
       mirror,
       metrics,
       isLeaving: shutdown.hasBegun,
+      reserveShare: (service, engineCount) =>
+        serviceRecords.get(service).departures.reserveShare(clock.monotonicMs(), engineCount),
     });
 
     const limits = MemoryLimits.create(settings.memoryBytes);
--- a/packages/gateway/src/upstream-orders.test.ts
+++ b/packages/gateway/src/upstream-orders.test.ts
@@ -105,6 +105,7 @@
     },
     maxCallsPerSecond,
     waitingTokens: () => undefined,
+    reserveShare: () => 0,
   });
   cluster.apply({ kind: 'configuration', configuration: createConfiguration(scaling) }, 1, 0);
   for (const dataCentre of dataCentres) {
--- a/packages/gateway/src/upstream-orders.ts
+++ b/packages/gateway/src/upstream-orders.ts
@@ -27,6 +27,8 @@
   readonly maxCallsPerSecond: number;
   /** Tokens of generations that wait or were refused lately; undefined if nodes don't tell. */
   readonly waitingTokens: (service: string) => number | undefined;
+  /** Share of the capacity of a service with this many upstreams that new requests leave free. */
+  readonly reserveShare: (service: string, upstreamCount: number) => number;
 }
 
 /** Orders as many upstreams as services need, for the subjects that this node holds. */
@@ -206,6 +208,8 @@
         .map(({ dataCentre }) => dataCentre)
         .filter((dataCentre) => !cluster.withdrawn.has(dataCentre));
       const { load, serving } = demandOf(members, service, peers.peerUse, cluster.withdrawn);
+      const reserveShare =
+        service.engine === undefined ? 0 : options.reserveShare(service.name, serving);
       const waitingTokens = options.waitingTokens(service.name);
       const memoryTokens = service.engine?.memoryTokens ?? 0;
       const waiting =
@@ -223,6 +227,7 @@
           load,
           waiting,
           serving,
+          reserveShare,
           localLoad: local.load,
           localServing: local.serving,
           isWhole: linkedShare() >= minKnownShare,
