--- a/packages/serving/src/admission-replay.test.ts
+++ b/packages/serving/src/admission-replay.test.ts
@@ -1,13 +1,6 @@
 import { expect } from 'chai';
-import {
-  arrivalsOf,
-  long,
-  replay,
-  servedShare,
-  short,
-  type Arrival,
-  type Outcome,
-} from './admission-replay.js';
+import { arrivalsOf, long, short, type Arrival } from './admission-replay-load.js';
+import { replay, servedShare, type Outcome } from './admission-replay.js';
 
 const isShort = ({ kind }: Arrival): boolean => kind === short;
 const isLong = ({ kind }: Arrival): boolean => kind === long;
