--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,13 +4,11 @@
 import { Random, type Clock } from '@zinniagrade/clock';
 import { quarantineMs } from '@zinniagrade/serving';
 import type { ServingContext } from './call.js';
-import { AccountSharing } from './account-sharing.js';
-import { DemandSharing } from './demand-sharing.js';
 import { chooseAddresses, createDirectoryServer } from './directory.js';
 import { CallerServer } from './caller-server.js';
 import { ColdLimits } from './cold-limits.js';
 import { limitServerConnections } from './connection-limits.js';
-import { GenerationQueues } from './generation-queues.js';
+import { GenerationAdmission } from './generation-admission.js';
 import { createReadyServer } from './http-servers.js';
 import { createLinkSecret, maxSecretDelayMs } from './link-secret.js';
 import { Listeners } from './listeners.js';
@@ -120,8 +118,7 @@
         statedLimits.receive(finding);
       },
       onPeerUse: (node, uses) => {
-        demand.onPeerUse(node, uses);
-        queues.wake();
+        admission.onPeerUse(node, uses);
       },
       limits: () => statedLimits.findings(),
     });
@@ -249,28 +246,15 @@
     });
     const unread = UnreadResponses.create(clock, log, limits.maxResponsesBytes);
     const responseMemory = ResponseMemory.create(memory, unread, limits.maxResponsesBytes);
-    const queues: GenerationQueues = GenerationQueues.create(
+    const admission: GenerationAdmission = GenerationAdmission.create(
       clock,
       random,
       log,
       metrics,
-      () => demand,
-      () => accounts,
-    );
-    const accounts: AccountSharing = AccountSharing.create(clock, {
-      peers,
-      nodeCount: () => Math.max(1, cluster.nodes.size),
-      isWaitedFor: (service) =>
-        queues.waitingFor(service)[Symbol.iterator]().next().done !== true ||
-        demand.isWaitedFor(service),
-    });
-    const demand: DemandSharing = DemandSharing.create(clock, random, {
+      cluster,
       peers,
-      nodeCount: () => Math.max(1, cluster.nodes.size),
-      waitingHere: queues.waitingFor,
-      onLess: queues.wake,
-      serviceOf: (upstream) => cluster.fleet.members.get(upstream)?.upstream.service,
-    });
+    );
+    const { queues, demand } = admission;
     const context: ServingContext = {
       dataCentre: settings.dataCentre,
       clock,
@@ -520,9 +504,7 @@
         await handOver;
         await duties?.stop();
         stopTicks();
-        queues.stop();
-        demand.stop();
-        accounts.stop();
+        admission.stop();
         memoryWatch.stop();
         memory.stop();
         unread.stop();
