Switch the parts that share load on by the settings only

Which part it is isn't known; queues with memory kept for urgent requests and the pace of new engines are suspected, as 76 and more refusals came where there were none. The settings field load_features names the parts that are on (admission-queue, pace, shared-speeds); without it streams are admitted, calls hedged and upstreams started as before. The limit of cold upstreams over all nodes, which is a rule, and priorities at engines stay on.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -42,6 +42,8 @@
   readonly responseMemory: BodyMemory;
   /** Retry budget and statistics that this node keeps for a service. */
   readonly recordOf: (service: string) => ServiceRecord;
+  /** Whether generations wait in `queues`, or look for room by themselves. */
+  readonly queuesGenerations: boolean;
   /** Generations that wait for memory of engines. */
   readonly queues: GenerationQueues;
   /** What waits for engines at all nodes, and when refused requests may come back. */
@@ -57,8 +59,10 @@
   readonly guard: RequestGuard;
   /** Requests and memory that other nodes use at an upstream. */
   readonly peerUse: (upstream: string) => UpstreamUse;
+  /** Whether nodes share what they measure of upstreams, and decide by it. */
+  readonly sharesSpeeds: boolean;
   /** Loads that plain upstreams state in their responses. */
-  readonly serviceLoads: Pick<SharedLoads, 'onStated'>;
+  readonly serviceLoads: Pick<SharedLoads, 'onStated'> | undefined;
   /** Placements of a service by other nodes that this node does not know of yet. */
   readonly unknownPlacements: (service: string) => number;
   /** To be called after the set of this node's requests at upstreams has changed. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,7 +36,7 @@
 import { SharedSpeeds } from './shared-speeds.js';
 import { ServiceReach, type WatchedReach } from './service-reach.js';
 import { ServiceRecords } from './service-records.js';
-import type { GatewaySettings } from './settings.js';
+import type { GatewaySettings, LoadFeature } from './settings.js';
 import { StatedLimits } from './stated-limits.js';
 import { StoreMirror } from './store-mirror.js';
 import { Duties } from './duties.js';
@@ -118,7 +118,9 @@
         statedLimits.receive(finding);
       },
       onPeerUse: (node, uses) => {
-        admission.onPeerUse(node, uses);
+        if (queuesGenerations) {
+          admission.onPeerUse(node, uses);
+        }
       },
       limits: () => statedLimits.findings(),
     });
@@ -137,15 +139,21 @@
       share: peers.shareLimit,
     });
 
-    const sharedSpeeds = SharedSpeeds.create(clock, log, metrics, cluster.fleet, {
-      nodeCount: () => Math.max(1, cluster.nodes.size),
-      openTopic: peers.openTopic,
-    });
-    const serviceLoads = SharedLoads.create(clock, log, metrics, cluster.fleet, {
-      nodeCount: () => Math.max(1, cluster.nodes.size),
-      peerUse: peers.peerUse,
-      openTopic: peers.openTopic,
-    });
+    const isOn = (feature: LoadFeature): boolean => settings.loadFeatures?.has(feature) === true;
+    const queuesGenerations = isOn('admission-queue');
+    const sharedSpeeds = isOn('shared-speeds')
+      ? SharedSpeeds.create(clock, log, metrics, cluster.fleet, {
+          nodeCount: () => Math.max(1, cluster.nodes.size),
+          openTopic: peers.openTopic,
+        })
+      : undefined;
+    const serviceLoads = isOn('shared-speeds')
+      ? SharedLoads.create(clock, log, metrics, cluster.fleet, {
+          nodeCount: () => Math.max(1, cluster.nodes.size),
+          peerUse: peers.peerUse,
+          openTopic: peers.openTopic,
+        })
+      : undefined;
 
     const quarantineEntries = QuarantineEntries.create(store, platform.quarantineEntryKey);
     const guard: RequestGuard = RequestGuard.create(clock, log, {
@@ -202,14 +210,16 @@
           Math.max(1, cluster.nodes.size),
           peers.announcementDelayMs(),
         );
-    const pace = UpstreamPace.create(clock, log, cluster, {
-      ...peers,
-      node: settings.node,
-      knowsUpstreams: () => mirrorCompleteAtMs !== undefined,
-      unknownPlacements,
-      recordRise: metrics.recordRise,
-    });
-    metrics.exportPaces(pace.limits);
+    const pace = isOn('pace')
+      ? UpstreamPace.create(clock, log, cluster, {
+          ...peers,
+          node: settings.node,
+          knowsUpstreams: () => mirrorCompleteAtMs !== undefined,
+          unknownPlacements,
+          recordRise: metrics.recordRise,
+        })
+      : undefined;
+    metrics.exportPaces(pace?.limits ?? (() => new Map()));
 
     const rollouts: Rollouts = Rollouts.create(clock, random, log, cluster, {
       node: settings.node,
@@ -262,17 +272,19 @@
       log,
       metrics,
       cluster,
-      client: pace.observe(watchedReach.client),
+      client: pace?.observe(watchedReach.client) ?? watchedReach.client,
       limits,
       memory,
       unread,
       responseMemory,
       recordOf: serviceRecords.get,
+      queuesGenerations,
+      sharesSpeeds: isOn('shared-speeds'),
       queues,
       demand,
       nodeCount: () => Math.max(1, cluster.nodes.size),
       isWithinRateLimits: (member) =>
-        coldLimits.allows(member) && statedLimits.allows(member) && pace.allows(member),
+        coldLimits.allows(member) && statedLimits.allows(member) && (pace?.allows(member) ?? true),
       statements: UpstreamStatements.create(clock, log, cluster.fleet, statedLimits),
       rollouts,
       guard,
@@ -509,8 +521,8 @@
         memory.stop();
         unread.stop();
         loadPolling.stop();
-        sharedSpeeds.stop();
-        serviceLoads.stop();
+        sharedSpeeds?.stop();
+        serviceLoads?.stop();
         rollouts.stop();
         watchedReach.stop();
         peers.close();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,7 +8,7 @@
 export type * from './node-client.js';
 export type * from './platform.js';
 export type * from './service-reach.js';
-export type * from './settings.js';
+export * from './settings.js';
 export type * from './upstream-client.js';
 export * from './unexpected-errors.js';
 export * from './cluster-state.js';
--- a/packages/gateway/src/open-stream.ts
+++ b/packages/gateway/src/open-stream.ts
@@ -14,6 +14,7 @@
 import { SilentEngine } from './silent-engine.js';
 import { StreamMigration } from './stream-migration.js';
 import { canRecover, type Standby } from './standby.js';
+import { QueuedAdmission } from './queued-admission.js';
 import { StreamAdmission } from './stream-admission.js';
 import { StreamContinuation } from './stream-continuation.js';
 import { StreamSegment } from './stream-segment.js';
@@ -55,7 +56,9 @@
     const { request, route, service, response } = call;
     const placement = StreamPlacement.create(context, call, engine);
     const progress = StreamProgress.create(context, call);
-    const admission = StreamAdmission.create(context, call, placement);
+    const admission = context.queuesGenerations
+      ? QueuedAdmission.create(context, call, placement)
+      : StreamAdmission.create(context, call, placement);
     const { budget, departures, returnTimes } = context.recordOf(service.name);
     const triedEngines = new Set<string>();
     let segment: StreamSegment | undefined;
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -68,7 +68,7 @@
     allows: (member) =>
       context.isWithinRateLimits(member) &&
       call.allowsVersionOf(member) &&
-      !(isHedge && isFull(member, context.peerUse, clock.monotonicMs())),
+      !(isHedge && context.sharesSpeeds && isFull(member, context.peerUse, clock.monotonicMs())),
     peerUse: context.peerUse,
     unknownPlacements: context.unknownPlacements(service.name),
   });
@@ -260,7 +260,9 @@
     const { upstream } = member;
     const sentAtMs = clock.monotonicMs();
     const sent = { sentAtMs, occupancy: occupancy(member, context.peerUse, sentAtMs) };
-    expectedMs ??= expectedAnswerMs(member, context.peerUse, sentAtMs);
+    if (context.sharesSpeeds) {
+      expectedMs ??= expectedAnswerMs(member, context.peerUse, sentAtMs);
+    }
     excluded.add(upstream.id);
     placements.record(sentAtMs);
     sends += 1;
@@ -315,7 +317,7 @@
           responseHead = head;
           context.statements.onResponse(member, head, sentAtMs);
           if (head.load !== undefined) {
-            context.serviceLoads.onStated(member, head.load);
+            context.serviceLoads?.onStated(member, head.load);
           }
         },
         onData: (bytes) => {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -11,6 +11,13 @@
   readonly usageLateMs?: number;
 }
 
+/**
+ * Parts that change how nodes share load, each off unless the settings name it: queues of generations
+ * that are ordered over all nodes, slow start of upstreams, and speeds that nodes share.
+ */
+export const loadFeatures = ['admission-queue', 'pace', 'shared-speeds'] as const;
+export type LoadFeature = (typeof loadFeatures)[number];
+
 /** Settings of a gateway process, read at its start and at each reload. */
 export interface GatewaySettings {
   readonly node: string;
@@ -54,6 +61,8 @@
    */
   readonly coldExcess: number;
   readonly coldSlack: number;
+  /** Load features that are on; none if undefined. */
+  readonly loadFeatures?: ReadonlySet<LoadFeature>;
   /** Undefined if this deployment has no duties. */
   readonly duties?: DutySettings;
 }
--- a/packages/gateway/src/stream-admission.ts
+++ b/packages/gateway/src/stream-admission.ts
@@ -1,12 +1,5 @@
 import { Failure } from '@zinniagrade/errors';
-import {
-  noRoomAhead,
-  requestPriority,
-  type Admission,
-  type FleetMember,
-  type RoomAhead,
-  type WaitingAttempt,
-} from '@zinniagrade/serving';
+import { noRoomAhead, type Admission, type FleetMember } from '@zinniagrade/serving';
 import type { Call, ServingContext } from './call.js';
 import { createLeavingFailure } from './leaving-failure.js';
 import type { StreamPlacement } from './stream-placement.js';
@@ -22,34 +15,32 @@
 }
 
 /** Shares of the latency objective for which a request, or a retry, waits for free memory. */
-const maxWaitGoalShare = 0.5;
-const retryMaxWaitGoalShare = 1;
+export const maxWaitGoalShare = 0.5;
+export const retryMaxWaitGoalShare = 1;
 /**
  * Predictions are rough, so the predicted time to the first event may exceed what is left of the
  * objective by this factor.
  */
-const latenessTolerance = 1.2;
+export const latenessTolerance = 1.2;
 /**
  * Retries are late already; they may wait in an engine's queue for this many latency objectives.
  */
-const retryFirstEventGoals = 2;
+export const retryFirstEventGoals = 2;
+const memoryCheckIntervalMs = 40;
 /** New engines register within about this time after the last one has left. */
-const noEngineRetryAfterMs = 600;
+export const noEngineRetryAfterMs = 600;
 /** Callers honour a retry delay of at most this share of their remaining time. */
-const maxRetryAfterShare = 1 / 3;
+export const maxRetryAfterShare = 1 / 3;
 /**
  * A request whose timeout is below this share of the route's longest stated one counts as a retry.
  */
-const retryTimeoutShare = 0.97;
+export const retryTimeoutShare = 0.97;
 /**
  * Retries have to leave only this share of the memory reserve free, as they get no third attempt.
  */
-const retryReserveShare = 0.5;
-
-/** A decision without the room of others: what it would refuse is refused, what it would start waits. */
-const keepIfRefused = (admission: Admission): Admission =>
-  admission.kind === 'placed' ? { kind: 'no-memory', lackingTokens: 0 } : admission;
+export const retryReserveShare = 0.5;
 
+/** Lets each stream without room look again by itself; for deployments without queues. */
 export const StreamAdmission = {
   create: (context: ServingContext, call: Call, placement: StreamPlacement): StreamAdmission => {
     const { clock, cluster } = context;
@@ -61,152 +52,86 @@
 
     const maxWaitMs = route.goalMs * (isRetry ? retryMaxWaitGoalShare : maxWaitGoalShare);
 
-    const waitUntilMs = arrivedAtMs + maxWaitMs;
-    const tokens = placement.expectedTokens(0);
-    const priority = requestPriority(route, call.account);
-    const accountName = call.account?.name ?? '';
-    let isUseRecorded = false;
-
     /** A retry is late already, so it gets a longer limit to its first event. */
-    const decideAdmission = (excluded: ReadonlySet<string>, ahead: RoomAhead): Admission => {
+    const decideAdmission = (excluded: ReadonlySet<string>): Admission => {
       const nowMs = clock.monotonicMs();
       const engines = cluster.fleet.ofService(service.name).filter((member) => !member.leaving);
       const reserve = departures.reserveShare(nowMs, engines.length);
-      return placement.admit(new Set([...excluded, ...ahead.savedEngines]), {
+      return placement.admit(excluded, {
         reserveShare: isRetry ? reserve * retryReserveShare : reserve,
         firstEventWithinMs: isRetry
           ? retryFirstEventGoals * route.goalMs
           : latenessTolerance * (arrivedAtMs + route.goalMs - nowMs),
-        tokensAhead: ahead.tokens,
-        urgentRoom: ahead.urgentRoom,
+        tokensAhead: 0,
+        urgentRoom: noRoomAhead.urgentRoom,
       });
     };
 
-    /** A request that only those before it keep from an engine waits, as it might without them. */
-    const decideInTurn = (excluded: ReadonlySet<string>, ahead: RoomAhead): Admission => {
-      const admission = decideAdmission(excluded, ahead);
-      const isKept = ahead.savedEngines.size > 0;
-      return isKept && (admission.kind === 'late' || admission.kind === 'no-engine')
-        ? keepIfRefused(decideAdmission(excluded, noRoomAhead))
-        : admission;
-    };
-
     const retryAfterMs = (): number => {
       const nowMs = clock.monotonicMs();
       const maxRetryAfterMs = (call.callerDeadlineAtMs - nowMs) * maxRetryAfterShare;
-      return (
-        context.demand.promiseReturn(service.name, {
-          priority,
-          tokens,
-          maxWaitMs: maxRetryAfterMs,
-        }) ?? returnTimes.reserveWaitMs(tokens, nowMs, maxRetryAfterMs)
-      );
+      return returnTimes.reserveWaitMs(placement.expectedTokens(0), nowMs, maxRetryAfterMs);
     };
 
-    /** Why the request can't be served, whether it waits or not. */
-    const refusalOf = (): { readonly failure: Failure; readonly reason: string } | undefined => {
+    const admit: StreamAdmission['admit'] = (excluded, onPlaced, onRefused) => {
+      if (call.isEnded()) {
+        return;
+      }
       const refusal = context.guard.refusal(call);
       if (refusal !== undefined) {
-        return { failure: refusal, reason: refusal.kind };
+        onRefused(refusal, refusal.kind);
+        return;
       }
       if (!call.response.headersSent && !context.canFinish(call)) {
         // The request has waited for memory while this node began to shut down.
-        return { failure: createLeavingFailure(), reason: 'leaving' };
+        onRefused(createLeavingFailure(), 'leaving');
+        return;
       }
-      return undefined;
-    };
-
-    const failureOf = (admission: Exclude<Admission, { readonly kind: 'placed' }>): Failure => {
+      const admission = decideAdmission(excluded);
       switch (admission.kind) {
+        case 'placed':
+          onPlaced(admission.member);
+          return;
         case 'no-engine':
-          return Failure.create(
-            'no-upstream',
-            `service ${service.name} has no available engine`,
-            context.statements.retryAfterMs(call, noEngineRetryAfterMs),
+          onRefused(
+            Failure.create(
+              'no-upstream',
+              `service ${service.name} has no available engine`,
+              context.statements.retryAfterMs(call, noEngineRetryAfterMs),
+            ),
+            admission.kind,
           );
+          return;
         case 'late':
           // Waiting here would use up as much of the objective as it saves in the engine's queue.
-          return Failure.create(
-            'overloaded',
-            `service ${service.name} would send the first event too late`,
-            Math.max(admission.lateByMs, retryAfterMs()),
+          onRefused(
+            Failure.create(
+              'overloaded',
+              `service ${service.name} would send the first event too late`,
+              Math.max(admission.lateByMs, retryAfterMs()),
+            ),
+            admission.kind,
           );
+          return;
         case 'no-memory':
-          return Failure.create(
-            'overloaded',
-            `engines of ${service.name} have no free memory`,
-            retryAfterMs(),
+          if (clock.monotonicMs() - arrivedAtMs < maxWaitMs) {
+            call.onEnded(
+              clock.after(memoryCheckIntervalMs, () => {
+                admit(excluded, onPlaced, onRefused);
+              }),
+            );
+            return;
+          }
+          onRefused(
+            Failure.create(
+              'overloaded',
+              `engines of ${service.name} have no free memory`,
+              retryAfterMs(),
+            ),
+            admission.kind,
           );
       }
     };
-
-    /** Whether the missing memory is expected to become free within the time that is left to wait. */
-    const canWait = (lackingTokens: number): boolean => {
-      const leftMs = waitUntilMs - clock.monotonicMs();
-      const expectedMs = context.demand.expectedWaitMs(service.name, priority, lackingTokens) ?? 0;
-      return leftMs > 0 && expectedMs <= leftMs;
-    };
-
-    const recordUse = (): void => {
-      if (isUseRecorded) {
-        return;
-      }
-      isUseRecorded = true;
-      context.queues.recordUse(service.name, accountName, tokens);
-      call.onEnded(() => {
-        context.queues.recordUse(service.name, accountName, -tokens);
-      });
-    };
-
-    const admit: StreamAdmission['admit'] = (excluded, onPlaced, onRefused) => {
-      const attempt = (ahead: RoomAhead): WaitingAttempt => {
-        if (call.isEnded()) {
-          return { kind: 'left', started: false };
-        }
-        const refusal = refusalOf();
-        if (refusal !== undefined) {
-          onRefused(refusal.failure, refusal.reason);
-          return { kind: 'left', started: false };
-        }
-        const admission = decideInTurn(excluded, ahead);
-        if (admission.kind === 'placed') {
-          recordUse();
-          onPlaced(admission.member);
-          return { kind: 'left', started: true };
-        }
-        if (admission.kind === 'no-memory' && canWait(admission.lackingTokens)) {
-          const { roomiestEngine } = admission;
-          return roomiestEngine === undefined
-            ? { kind: 'waits' }
-            : { kind: 'waits', savedEngine: roomiestEngine };
-        }
-        const isEarly = admission.kind === 'no-memory' && clock.monotonicMs() < waitUntilMs;
-        onRefused(failureOf(admission), isEarly ? 'no-memory-in-time' : admission.kind);
-        return { kind: 'left', started: false };
-      };
-      if (call.isEnded()) {
-        return;
-      }
-      context.queues.add(service.name, {
-        requestId: call.request.id,
-        request: {
-          priority,
-          isReturn: isRetry,
-          account: accountName,
-          tokens,
-          deadlineAtMs: call.callerDeadlineAtMs,
-        },
-        attempt,
-        giveUp: () => {
-          onRefused(failureOf({ kind: 'no-memory', lackingTokens: 0 }), 'no-memory');
-        },
-        waitUntilMs,
-        hasPriority:
-          cluster.routes()?.enginePriority(service.name, route, call.account) !== undefined,
-        maxWaitMs,
-        onEnded: call.onEnded,
-      });
-    };
     return { admit };
   },
 };
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -86,7 +86,9 @@
       tokensPerEvent: options.tokensPerEvent,
       batch: () => expectedUse(member, context.peerUse).requests,
       record: (msPerToken, batch, nowMs) => {
-        recordTokenTime(member, msPerToken, batch, slowdown, nowMs);
+        if (context.sharesSpeeds) {
+          recordTokenTime(member, msPerToken, batch, slowdown, nowMs);
+        }
       },
     });
     const splitter = EventSplitter.create();
