--- a/packages/serving/src/route-table.test.ts
+++ b/packages/serving/src/route-table.test.ts
@@ -70,6 +70,21 @@
       expect(routes.enginePriority('other', other, undefined)).to.equal(undefined);
     });
 
+    it('is not stated where urgent requests may take longer than others', () => {
+      // Guards against short generations that are due soon and wait behind long urgent ones.
+      const urgent = { ...long, priority: 0, timeoutMs: 39_000 };
+      const due = { ...short, priority: 1, timeoutMs: 6000 };
+      const middle = { ...short, name: 'middle', priority: 0, timeoutMs: 3000 };
+      for (const order of [
+        [urgent, due, middle],
+        [due, middle, urgent],
+      ]) {
+        const routes = RouteTable.create(createConfiguration(order));
+        expect(routes.enginePriority('app', urgent, undefined)).to.equal(undefined);
+        expect(routes.enginePriority('app', due, undefined)).to.equal(undefined);
+      }
+    });
+
     it('is that of the client account, within the range of engines', () => {
       const urgent = { name: 'urgent', keys: ['k3'], priority: 0 };
       const slow = { name: 'slow', keys: ['k4'], priority: 12 };
--- a/packages/serving/src/route-table.ts
+++ b/packages/serving/src/route-table.ts
@@ -11,7 +11,7 @@
   readonly needsKey: boolean;
   /**
    * Priority to state to an engine of the service; undefined if all requests of the service have the
-   * same one.
+   * same one, or if urgent ones may take longer than others.
    */
   readonly enginePriority: (
     service: string,
@@ -27,7 +27,33 @@
 export const requestPriority = (route: Route, account: ClientAccount | undefined): number =>
   account?.priority ?? route.priority;
 
-/** Services whose requests differ in priority. */
+/**
+ * Services on which a more urgent route allows more time than a less urgent one. If their engines took
+ * the urgent requests first, those that are due sooner would be late.
+ */
+const servicesWithLongUrgentRoutes = (routes: readonly Route[]): ReadonlySet<string> => {
+  const services = new Set<string>();
+  /** The longest time that routes of each service allow, of those that are more urgent or as urgent. */
+  const longestMs = new Map<string, { readonly priority: number; readonly timeoutMs: number }[]>();
+  for (const route of [...routes].sort((a, b) => a.priority - b.priority)) {
+    for (const { service } of route.targets) {
+      const known = longestMs.get(service) ?? [];
+      longestMs.set(service, known);
+      const moreUrgent = known.findLast(({ priority }) => priority < route.priority);
+      if (moreUrgent !== undefined && moreUrgent.timeoutMs > route.timeoutMs) {
+        services.add(service);
+      }
+      const timeoutMs = Math.max(route.timeoutMs, known.at(-1)?.timeoutMs ?? 0);
+      if (known.at(-1)?.priority === route.priority) {
+        known.pop();
+      }
+      known.push({ priority: route.priority, timeoutMs });
+    }
+  }
+  return services;
+};
+
+/** Services whose requests differ in priority, and for which engines may go by it. */
 const servicesWithPriorities = ({ routes, clientAccounts }: Configuration): ReadonlySet<string> => {
   const prioritiesByService = new Map<string, Set<number>>();
   for (const route of routes) {
@@ -43,9 +69,10 @@
       }
     }
   }
+  const excluded = servicesWithLongUrgentRoutes(routes);
   const services = new Set<string>();
   for (const [service, priorities] of prioritiesByService) {
-    if (priorities.size > 1) {
+    if (priorities.size > 1 && !excluded.has(service)) {
       services.add(service);
     }
   }
