--- /dev/null
+++ b/review/lib-2/configuration.mjs
@@ -0,0 +1,67 @@
+const route = (name, kind, service, timeoutMs, goalMs, maxAttempts) => ({
+  name,
+  host: 'a.example',
+  path_prefix: `/${name}/`,
+  kind,
+  timeout_ms: timeoutMs,
+  goal_ms: goalMs,
+  priority: 0,
+  service,
+  max_attempts: maxAttempts,
+  anonymous: false,
+  sticky: kind === 'streaming',
+  resumable: false,
+  ...(kind === 'streaming' ? { gap_aim_ms: 180 } : {}),
+});
+
+/** A configuration like that of the deployment vtr-gent. */
+export const configuration = (version) => ({
+  version,
+  routes: [
+    route('report', 'streaming', 'llm', 39_000, 1800, 1),
+    route('verdict', 'streaming', 'llm', 6000, 1500, 1),
+    route('credit', 'non_idempotent', 'app', 800, 300, 1),
+    route('status', 'idempotent', 'app', 800, 300, 2),
+  ],
+  services: [
+    {
+      name: 'llm',
+      health_path: '/healthz',
+      max_conns: 222,
+      protocol: 'h1',
+      tls: false,
+      cold_start_s: 1,
+      cold_per_s: 32,
+      engine: {
+        slots: 24,
+        kv_capacity: 34_287,
+        kv_token_bytes: 262_144,
+        link_mbps: 38_000,
+        moves: true,
+        backups: true,
+        stride: 4,
+        most: 12,
+        pin_ms: 4000,
+        hold_ms: 2000,
+        handle_s: 5,
+        models: [{ name: 'm' }],
+      },
+    },
+    {
+      name: 'app',
+      health_path: '/healthz',
+      max_conns: 100,
+      protocol: 'h1',
+      tls: false,
+      cold_start_s: 0,
+      cold_per_s: 0,
+    },
+  ],
+  limits: {
+    max_header_bytes: 16_384,
+    max_body_bytes: 4_194_304,
+    header_timeout_ms: 3000,
+    idle_timeout_ms: 15_000,
+  },
+  tenants: [{ name: 'tenant-1', api_keys: ['key-1'], priority: 1 }],
+});
