--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node play.mjs
