--- a/review/lib-2/flood.mjs
+++ b/review/lib-2/flood.mjs
@@ -10,7 +10,7 @@
 import { answerAfter, streamEvents, Worker } from './worker.mjs';
 
 /**
- * One gateway, three sound workers of a plain service and two model workers, one of which gets into
+ * One gateway, three sound workers of a plain service and eight model workers, one of which gets into
  * trouble. The script's arguments are what it sends without end, and the file of the record.
  */
 const [flood, recordFile] = process.argv.slice(2);
@@ -28,13 +28,17 @@
   await worker.start();
   store.put(`servers/${worker.id}`, worker.registration());
 }
-const sound = await new Worker(
-  'i-llm-0',
-  'llm',
-  'gent-b',
-  streamEvents(() => 40, 30),
-).start();
-store.put(`servers/${sound.id}`, sound.registration());
+const soundZones = ['gent-b', 'gent-b', 'gent-b', 'aalst', 'aalst', 'brugge', 'brugge'];
+for (const [index, zone] of soundZones.entries()) {
+  const sound = new Worker(
+    `i-llm-${String(index)}`,
+    'llm',
+    zone,
+    streamEvents(() => 40, 30),
+  );
+  await sound.start();
+  store.put(`servers/${sound.id}`, sound.registration());
+}
 const flooder = fork(fileURLToPath(new URL('flooder.mjs', import.meta.url)), [flood]);
 let sent = { sentBytes: 0, requests: 0 };
 const registration = await new Promise((resolve) => {
@@ -51,7 +55,7 @@
     sent = message;
   });
 });
-store.put('servers/i-llm-1', registration);
+store.put('servers/i-llm-7', registration);
 const gateway = await Gateway.start('edge-0', 'gent-a', zones, store.address);
 
 let exitCode = 2;
@@ -116,7 +120,7 @@
   const troubleAtMs = now();
   if (isTrouble) {
     flooder.send('trouble');
-    note('one of the two model workers is in trouble from now on');
+    note('one of eight model workers is in trouble from now on');
   }
   await sleep(20_000);
   isSending = false;
--- a/review/lib-2/flooder.mjs
+++ b/review/lib-2/flooder.mjs
@@ -18,7 +18,7 @@
 let sentBytes = 0;
 let requests = 0;
 
-const worker = new Worker('i-llm-1', 'llm', 'gent-a', undefined);
+const worker = new Worker('i-llm-7', 'llm', 'gent-a', undefined);
 worker.run = (request, response) => {
   if (!isInTrouble) {
     answer(request, response, worker);
