Take requests while leaving only if their caller's deadline ends in time

Cause: a leaving node took a request if twice the longest recent duration on its route was left, or if the route's time-out ended in time. Nothing that a node has seen bounds a generation of unknown length, and a version may raise the time-out while the request is open. Ruled out as answers: the length that a client states, and a larger factor.

The decision now rests on the caller's own deadline, which never moves. The rest is refused as not run, and the next node answers. The same question is asked before a call is sent once more and before a stream is passed on to another node, which both went on without it.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -13,7 +13,6 @@
 import type { NodeRelay } from './node-relay.js';
 import type { RequestDeadline } from './request-deadline.js';
 import type { RequestGuard } from './request-guard.js';
-import type { RouteDurations } from './route-durations.js';
 import type { Rollouts } from './rollouts.js';
 import type { ServiceReach } from './service-reach.js';
 import type { ServiceRecord } from './service-records.js';
@@ -72,7 +71,6 @@
    * turn.
    */
   readonly turnDelayMs: () => number;
-  readonly durations: RouteDurations;
   /** Which services this node and others reach. */
   readonly reach: ServiceReach;
   /** Passes requests on to nodes that reach a service which this node doesn't. */
@@ -81,8 +79,8 @@
   readonly countBegun?: (call: Call) => void;
   /** Whether this node is shutting down. */
   readonly isLeaving: () => boolean;
-  /** Whether a call that has not been sent can still be finished; false only if the node leaves. */
-  readonly canFinish: (call: Call) => boolean;
+  /** Whether a call certainly ends before this node does; false only while the node shuts down. */
+  readonly canFinish: (call: Pick<Call, 'callerDeadlineAtMs'>) => boolean;
 }
 
 /** A routed request with its complete body, whose caller is waiting for the response. */
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -100,7 +100,6 @@
       const listeners: (() => void)[] = [];
       let ended = false;
       metrics.addOpenRequests(1);
-      const endDuration = context.durations.start(route.name);
       const callerDeadlineAtMs = arrivedAtMs + (request.waitsMs ?? defaultCallerTimeoutMs);
       const deadline = RequestDeadline.create(clock, {
         arrivedAtMs,
@@ -115,7 +114,6 @@
         deadline.stop();
         openDeadlines.delete(deadline);
         metrics.addOpenRequests(-1);
-        endDuration(outcome === 'complete');
         const tookMs = clock.monotonicMs() - arrivedAtMs;
         metrics.recordResponse(route.name, outcome, tookMs);
         log.decision('answered', {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,7 +30,6 @@
 import { RequestGuard } from './request-guard.js';
 import { ResponseMemory } from './response-memory.js';
 import { Rollouts } from './rollouts.js';
-import { RouteDurations } from './route-durations.js';
 import { serveCall } from './serve-call.js';
 import { SharedLoads } from './shared-loads.js';
 import { SharedSpeeds } from './shared-speeds.js';
@@ -92,7 +91,12 @@
     const random = Random.create(randomBytes(4).readInt32LE());
     const serviceRecords = ServiceRecords.create(settings.retries);
     const shutdown = Shutdown.create(clock, () => settings.graceMs);
-    const durations = RouteDurations.create(clock);
+    /**
+     * Only the caller's deadline bounds a generation of unknown length: how long others took doesn't,
+     * and a version may raise the route's time-out while the request is open.
+     */
+    const canFinish: ServingContext['canFinish'] = ({ callerDeadlineAtMs }) =>
+      shutdown.canFinish(callerDeadlineAtMs - clock.monotonicMs());
     let mirrorCompleteAtMs: number | undefined;
 
     const peers: NodePeers = NodePeers.create(clock, random, log, cluster, {
@@ -296,7 +300,6 @@
         queues.wake();
       },
       turnDelayMs: peers.turnDelayMs,
-      durations,
       reach,
       relay: NodeRelay.create(
         { clock, random, log, metrics, limits, responseMemory, reach, cluster },
@@ -305,11 +308,7 @@
       ),
       ...(duties === undefined ? {} : { countBegun: duties.countBegun }),
       isLeaving: shutdown.hasBegun,
-      canFinish: (call) =>
-        shutdown.canFinish({
-          maxMs: call.deadline.atMs() - clock.monotonicMs(),
-          recentMs: durations.longestMs(call.route.name),
-        }),
+      canFinish,
     };
 
     const engineDrainer: EngineDrainer = EngineDrainer.create(context);
--- a/packages/gateway/src/pass-on-stream.ts
+++ b/packages/gateway/src/pass-on-stream.ts
@@ -1,6 +1,7 @@
 import { Failure } from '@zinniagrade/errors';
 import type { Call, ServingContext } from './call.js';
 import type { NodeEntry } from './cluster-state.js';
+import { createLeavingFailure } from './leaving-failure.js';
 import { outcomeOfResponse, type NodeResponse, type PassedOnOutcome } from './node-relay.js';
 import { beginStreamResponse, forwardResponse } from './responses.js';
 
@@ -9,8 +10,8 @@
 
 /**
  * Passes a stream that has not run on to another node, if this node reaches no upstream of its
- * service, and relays the response as it arrives. Returns false if this node has to serve it. To
- * `unreached` upstreams no connection opened for it.
+ * service, and relays the response as it arrives. Returns false if this node has to serve it, or to
+ * refuse it as it shuts down. To `unreached` upstreams no connection opened for it.
  */
 export const passOnStream = (context: ServingContext, call: Call, unreached = 0): boolean => {
   const { log, relay, unread } = context;
@@ -80,6 +81,11 @@
   };
 
   const passOnAgain = (refusal?: NodeResponse): void => {
+    if (!context.canFinish(call)) {
+      // This node has begun to shut down since it passed the stream on.
+      call.fail(createLeavingFailure());
+      return;
+    }
     const direction = relay.direct(call, tried, unreached);
     if (direction.kind === 'pass-on') {
       sendTo(direction.node);
@@ -93,6 +99,9 @@
     call.fail(Failure.create('no-upstream', detail, refusalRetryAfterMs));
   };
 
+  if (!context.canFinish(call)) {
+    return false;
+  }
   const direction = relay.direct(call, tried, unreached);
   switch (direction.kind) {
     case 'serve-here':
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -16,6 +16,7 @@
 import { forwardResponse } from './responses.js';
 import { BoundedBody } from './bounded-body.js';
 import type { Call, ServingContext } from './call.js';
+import { createLeavingFailure } from './leaving-failure.js';
 import { outcomeOfResponse, type NodeResponse } from './node-relay.js';
 import { CallRelay } from './pass-on-call.js';
 import type { ResponseHead, Exchange, ExchangeFailure } from './upstream-client.js';
@@ -149,6 +150,11 @@
     if (call.isEnded() || attempts.size > 0 || relayed.isInFlight()) {
       return;
     }
+    if (!context.canFinish(call)) {
+      // This node has begun to shut down since the last attempt.
+      endUnserved(createLeavingFailure());
+      return;
+    }
     // What has not run is no repeat at another node, so that it needs no retry budget.
     if (!mayHaveRun && possibleRuns === 0 && relayed.passOn(0)) {
       return;
--- a/packages/gateway/src/shutdown.ts
+++ b/packages/gateway/src/shutdown.ts
@@ -1,13 +1,5 @@
 import type { Clock } from '@zinniagrade/clock';
 
-/** What is known of the time that a request needs. */
-export interface ExpectedDuration {
-  /** Time until its deadline, by which it gets an answer in any case. */
-  readonly maxMs: number;
-  /** Longest duration of such requests lately; undefined if it is not known. */
-  readonly recentMs: number | undefined;
-}
-
 /** Whether this process is shutting down, and the time that it has left for open requests. */
 export interface Shutdown {
   /** Starts the grace period; has no effect if it has already started. */
@@ -15,8 +7,8 @@
   readonly hasBegun: () => boolean;
   /** Time until this process has to end; undefined unless it is shutting down. */
   readonly remainingMs: () => number | undefined;
-  /** Whether a request can be finished in the time that is left. */
-  readonly canFinish: (duration: ExpectedDuration) => boolean;
+  /** Whether a request that ends within this time can be finished in the time that is left. */
+  readonly canFinish: (durationMs: number) => boolean;
   /** Calls the listener once, when too little time remains to read the rest of a request. */
   readonly onReadingEnds: (listener: () => void) => void;
   /** Resolves when nothing is open any more, or no time remains. */
@@ -26,8 +18,6 @@
 const idleCheckIntervalMs = 50;
 /** A node completes its shutdown this long before it is killed. */
 const shutdownMarginMs = 400;
-/** Requests that begin now may take longer than recent ones by this factor, as load varies. */
-const durationMargin = 2;
 /** Requests that are not read by then are refused, which takes their callers some time to read. */
 const readingEndsBeforeMs = 1000;
 
@@ -56,10 +46,7 @@
           clock.after(Math.max(0, graceMs() - shutdownMarginMs - readingEndsBeforeMs), endReading);
         }
       },
-      canFinish: ({ maxMs, recentMs }) => {
-        const leftMs = remainingMs() ?? Infinity;
-        return leftMs >= maxMs || (recentMs !== undefined && leftMs >= recentMs * durationMargin);
-      },
+      canFinish: (durationMs) => (remainingMs() ?? Infinity) >= durationMs,
       onReadingEnds: (listener) => {
         readingListeners.push(listener);
       },
