Bound the work per byte of events and frames that arrive in small pieces

Cause: EventSplitter joined the incomplete event with each piece and searched it from the start, which costs the square of the number of pieces. The limit of an event bounds memory, not work.

PendingBytes holds what a parser can't use yet in a buffer that doubles, so that each byte is copied a bounded number of times; the splitter goes on to search where it stopped. The same join was in the reader of frames between nodes and in the event reader of the client library, which use it too.

--- a/packages/caller/src/event-reader.ts
+++ b/packages/caller/src/event-reader.ts
@@ -1,3 +1,5 @@
+import { PendingBytes } from '@zinniagrade/pending-bytes';
+
 /** One event of a `text/event-stream`. */
 export interface StreamEvent {
   readonly event: string;
@@ -5,8 +7,9 @@
   readonly data: string;
 }
 
-/** Limit on the length of one event in characters. */
-const maxEventLength = 256 * 1024;
+/** Limit on the length of one event. */
+const maxEventBytes = 256 * 1024;
+const eventEnd = '\n\n';
 
 const parseEvent = (block: string): StreamEvent => {
   const fields = new Map<string, string>();
@@ -26,20 +29,25 @@
 
 /** Splits a byte stream into events. An incomplete event at the end of the stream is dropped. */
 export async function* readEvents(body: AsyncIterable<Buffer>): AsyncGenerator<StreamEvent> {
-  const decoder = new TextDecoder();
-  let buffered = '';
+  const pending = PendingBytes.create();
+  /** No event ends that begins its last line end before this index of the pending bytes. */
+  let searchedTo = 0;
   for await (const chunk of body) {
-    buffered += decoder.decode(chunk, { stream: true });
+    pending.append(chunk);
+    const view = pending.view();
+    let start = 0;
     for (
-      let eventEnd = buffered.indexOf('\n\n');
-      eventEnd !== -1;
-      eventEnd = buffered.indexOf('\n\n')
+      let end = view.indexOf(eventEnd, searchedTo);
+      end !== -1;
+      end = view.indexOf(eventEnd, start)
     ) {
-      yield parseEvent(buffered.slice(0, eventEnd));
-      buffered = buffered.slice(eventEnd + 2);
+      yield parseEvent(view.toString('utf8', start, end));
+      start = end + eventEnd.length;
     }
-    if (buffered.length > maxEventLength) {
-      throw new Error(`an event of the stream is longer than ${maxEventLength} characters`);
+    pending.consume(start);
+    searchedTo = Math.max(0, pending.size() - eventEnd.length + 1);
+    if (pending.size() > maxEventBytes) {
+      throw new Error(`an event of the stream is longer than ${maxEventBytes} bytes`);
     }
   }
 }
--- a/packages/frames/src/frame-codec.ts
+++ b/packages/frames/src/frame-codec.ts
@@ -1,4 +1,5 @@
 import { Failure } from '@zinniagrade/errors';
+import { PendingBytes } from '@zinniagrade/pending-bytes';
 import { Decoder, Encoder } from 'cbor-x';
 import { Either, Left, Right } from 'purify-ts';
 
@@ -42,12 +43,12 @@
 
 export const FrameReader = {
   create: (): FrameReader => {
-    let buffered: Buffer = Buffer.alloc(0);
+    const pending = PendingBytes.create();
     let failure: Failure | undefined;
 
     const fail = (detail: string): Either<Failure, never> => {
       failure = Failure.create('protocol-violation', detail);
-      buffered = Buffer.alloc(0);
+      pending.consume(pending.size());
       return Left(failure);
     };
 
@@ -56,7 +57,8 @@
         if (failure !== undefined) {
           return Left(failure);
         }
-        buffered = buffered.length === 0 ? bytes : Buffer.concat([buffered, bytes]);
+        pending.append(bytes);
+        const buffered = pending.view();
         const messages: unknown[] = [];
         let offset = 0;
         while (buffered.length - offset >= lengthBytes) {
@@ -75,7 +77,7 @@
           }
           offset = end;
         }
-        buffered = buffered.subarray(offset);
+        pending.consume(offset);
         return Right(messages);
       },
     };
--- a/packages/frames/src/frames.test.ts
+++ b/packages/frames/src/frames.test.ts
@@ -30,6 +30,20 @@
     }
   });
 
+  it('takes little time for a large frame that comes byte by byte', () => {
+    // Guards against a process that stops for the square of the bytes that a peer sends.
+    const message = { text: 'x'.repeat(maxFrameBytes - 100) };
+    const frame = encodeFrame(message).unsafeCoerce();
+    const reader = FrameReader.create();
+    const messages: unknown[] = [];
+    const beganAtMs = performance.now();
+    for (let index = 0; index < frame.length; index += 1) {
+      messages.push(...reader.push(frame.subarray(index, index + 1)).unsafeCoerce());
+    }
+    expect(performance.now() - beganAtMs).to.be.below(500);
+    expect(messages).to.deep.equal([message]);
+  });
+
   it('rejects a length over the limit before it has received the body', () => {
     const header = Buffer.alloc(4);
     header.writeUInt32BE(maxFrameBytes + 1, 0);
--- a/packages/gateway/src/stream-segment.ts
+++ b/packages/gateway/src/stream-segment.ts
@@ -227,7 +227,7 @@
             }
             handlers.onEvent(event);
           }
-          if (splitter.remainder().length > context.limits.maxEventBytes) {
+          if (splitter.remainderBytes() > context.limits.maxEventBytes) {
             fail('an event of the stream exceeds the size limit');
           }
         },
--- /dev/null
+++ b/packages/pending-bytes/src/index.ts
@@ -0,0 +1,1 @@
+export * from './pending-bytes.js';
--- a/packages/serving/src/event-splitter.test.ts
+++ b/packages/serving/src/event-splitter.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import fc from 'fast-check';
 import { EventSplitter } from './event-splitter.js';
 
 const textsOf = (events: readonly { readonly bytes: Buffer }[]): readonly string[] =>
@@ -48,4 +49,51 @@
       expect(splitter.endsInsideEvent(), rest).to.equal(isPartOfEvent);
     }
   });
+
+  /** Allowed beyond a route's time-out, in which a request that waits meanwhile is answered. */
+  const slackMs = 500;
+  const eventBytes = 400_000;
+  for (const [name, pattern] of [
+    ['one line', 'x'],
+    ['lines without a blank one between them', 'data: x\n'],
+    ['comments', ':\n'],
+    ['carriage returns', '\r'],
+    ['blank lines with spaces', ' \r\n'],
+  ] as const) {
+    it(`takes little time for an event of ${name} that comes byte by byte`, () => {
+      // Guards against a process that stops for the square of the bytes that an upstream sends.
+      const splitter = EventSplitter.create();
+      const pieces = [...Buffer.from(pattern)].map((byte) => Buffer.of(byte));
+      const beganAtMs = performance.now();
+      let events = 0;
+      for (let sent = 0; sent < eventBytes; sent += pieces.length) {
+        for (const piece of pieces) {
+          events += splitter.push(piece).length;
+        }
+      }
+      expect(performance.now() - beganAtMs).to.be.below(slackMs);
+      expect(events).to.equal(0);
+      expect(splitter.remainderBytes()).to.be.at.least(eventBytes);
+    });
+  }
+
+  it('finds the same events wherever the stream is cut', () => {
+    // Guards against an end of an event that is missed where it comes in pieces.
+    const text = fc.array(fc.constantFrom('\n', '\r', 'id: 1', 'x', ' '), { maxLength: 40 });
+    fc.assert(
+      fc.property(text, fc.array(fc.nat(40)), (parts, cuts) => {
+        const stream = Buffer.from(parts.join(''));
+        const splitter = EventSplitter.create();
+        const events: string[] = [];
+        let from = 0;
+        for (const cut of [...cuts, stream.length].sort((a, b) => a - b)) {
+          events.push(...textsOf(splitter.push(stream.subarray(from, cut))));
+          from = Math.max(from, Math.min(cut, stream.length));
+        }
+        const whole = EventSplitter.create();
+        expect(events).to.deep.equal(textsOf(whole.push(stream)));
+        expect(splitter.remainder().equals(whole.remainder())).to.equal(true);
+      }),
+    );
+  });
 });
--- a/packages/serving/src/event-splitter.ts
+++ b/packages/serving/src/event-splitter.ts
@@ -1,3 +1,5 @@
+import { PendingBytes } from '@zinniagrade/pending-bytes';
+
 /** One server-sent event, with its bytes as received from the upstream. */
 export interface StreamEvent {
   readonly bytes: Buffer;
@@ -13,10 +15,15 @@
  * Splits a byte stream into complete events, so that a broken stream never ends within an event.
  */
 export interface EventSplitter {
-  /** Adds bytes and returns the events that they complete. */
+  /**
+   * Adds bytes and returns the events that they complete. Takes a time in proportion to these bytes,
+   * averaged over many calls, however small the pieces are.
+   */
   readonly push: (bytes: Buffer) => readonly StreamEvent[];
   /** The bytes after the last complete event. */
   readonly remainder: () => Buffer;
+  /** Number of bytes after the last complete event. */
+  readonly remainderBytes: () => number;
   /** Whether these bytes are more than line ends and spaces. */
   readonly endsInsideEvent: () => boolean;
 }
@@ -43,23 +50,35 @@
   return id === undefined ? { bytes } : { bytes, id };
 };
 
+/** The longest end of an event is a line end, CR and LF. */
+const maxEventEndBytes = 3;
+
 export const EventSplitter = {
   create: (): EventSplitter => {
-    let pending: Buffer = Buffer.alloc(0);
+    const pending = PendingBytes.create();
+    /** No event ends that begins its last line end before this index of the pending bytes. */
+    let searchedTo = 0;
     return {
       push: (bytes) => {
-        pending = pending.length === 0 ? bytes : Buffer.concat([pending, bytes]);
+        pending.append(bytes);
+        const view = pending.view();
         const events: StreamEvent[] = [];
         let start = 0;
-        for (let end = findEventEnd(pending, 0); end !== -1; end = findEventEnd(pending, start)) {
-          events.push(parseEvent(pending.subarray(start, end)));
+        for (
+          let end = findEventEnd(view, searchedTo);
+          end !== -1;
+          end = findEventEnd(view, start)
+        ) {
+          events.push(parseEvent(view.subarray(start, end)));
           start = end;
         }
-        pending = pending.subarray(start);
+        pending.consume(start);
+        searchedTo = Math.max(0, pending.size() - maxEventEndBytes + 1);
         return events;
       },
-      remainder: () => pending,
-      endsInsideEvent: () => partialEventPattern.test(pending.toString('latin1')),
+      remainder: pending.view,
+      remainderBytes: pending.size,
+      endsInsideEvent: () => partialEventPattern.test(pending.view().toString('latin1')),
     };
   },
 };
