Hold removals only after outages in which entries can lapse

Cause: any failed watch counted as an outage of the store, and the call that noticed its end as the return; for 2.3 s from then on removals were held. But a waiting watch may be cut, a connection may fall silent, and a node may be cut off by itself.

The lease was renewed 2.1 s after the connections fell silent, `store unavailable` came 0.8 s after that, `store available again` 102 ms later; the entry was removed 0.1 s after that and held.

An outage is now bounded by the calls that the store answered before and after it, to this node or, as each message to a neighbour states, to others. It counts if it is as long as two heartbeats, since a lapse takes three of silence. A failed call also has a waiting watch sent again on a new connection, so that silence is noticed within 2.1 s. Removals after outages that all nodes saw, and after a restore, are held as before.

--- a/packages/gateway/src/change-relay.test.ts
+++ b/packages/gateway/src/change-relay.test.ts
@@ -36,6 +36,8 @@
     catchUp: () => calls.push('catch up'),
     readAgain: () => calls.push('read again'),
     storeAccess: () => access,
+    checkWatch: () => undefined,
+    onOutageRuledOut: () => undefined,
     stop: () => undefined,
   };
   const relay = ChangeRelay.create(clock, () => 0.5, Log.createSilent(), {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 import { createMetricsServer, Metrics } from './metrics.js';
 import { NodeRelay } from './node-relay.js';
 import { NodePeers } from './node-peers.js';
+import { observeStore } from './observed-store.js';
 import { OpenStream } from './open-stream.js';
 import { passOnStream } from './pass-on-stream.js';
 import type { Platform } from './platform.js';
@@ -38,6 +39,7 @@
 import type { GatewaySettings, LoadFeature } from './settings.js';
 import { StatedLimits } from './stated-limits.js';
 import { StoreMirror } from './store-mirror.js';
+import { StoreOutages } from './store-outages.js';
 import { Duties } from './duties.js';
 import { EngineDrainer } from './engine-drainer.js';
 import { Shutdown } from './shutdown.js';
@@ -84,12 +86,26 @@
     readResidentBytes: () => number = () => process.memoryUsage.rss(),
     statedReach?: ServiceReach,
   ): Gateway => {
-    const { store } = platform;
     let { settings } = platform;
     const metrics = Metrics.create();
     const cluster = ClusterState.create(log);
     const random = Random.create(randomBytes(4).readInt32LE());
     const serviceRecords = ServiceRecords.create(settings.retries);
+    const outages = StoreOutages.create(clock, log, {
+      minOutageMs: settings.minExpiryOutageMs,
+      onRuledOut: () => {
+        mirror.onOutageRuledOut();
+      },
+    });
+    const store = observeStore(platform.store, clock, {
+      onAnswered: outages.recordAnswer,
+      onFailed: (isWatch) => {
+        outages.recordFailure();
+        if (!isWatch) {
+          mirror.checkWatch();
+        }
+      },
+    });
     const shutdown = Shutdown.create(clock, () => settings.graceMs);
     /**
      * Only the caller's deadline bounds a generation of unknown length: how long others took doesn't,
@@ -108,6 +124,8 @@
       address: settings.listen.nodes,
       mirror: () => mirror,
       cutOffServices: () => watchedReach.cutOffServices(),
+      storeAvailableForMs: outages.availableForMs,
+      onStoreAvailable: outages.receive,
       onLoad: (upstream, load, readAtMs) => {
         loadPolling.receiveLoad(upstream, load, readAtMs);
       },
@@ -186,6 +204,7 @@
       prefix: platform.prefix,
       delaysRemovalAfterOutage: platform.delaysRemovalAfterOutage,
       reregistrationWindowMs: settings.reregistrationWindowMs,
+      outages,
       restoredEntryLapseMs: settings.restoredEntryLapseMs,
       decideRestoredEntry: (key, known, restored) =>
         decideRestoredEntry(
--- a/packages/gateway/src/metadata-store.ts
+++ b/packages/gateway/src/metadata-store.ts
@@ -78,8 +78,16 @@
 /** The platform's store, which holds all state that must outlive a process. */
 export interface MetadataStore {
   readonly list: (prefix: string) => Promise<Either<Failure, StoreListing>>;
-  /** Waits up to `waitMs` for changes after a revision; returns no events if there were none. */
-  readonly watch: (prefix: string, after: Revision, waitMs: number) => Promise<WatchOutcome>;
+  /**
+   * Waits up to `waitMs` for changes after a revision; returns no events if there were none. The
+   * signal closes the connection, after which the outcome has no meaning.
+   */
+  readonly watch: (
+    prefix: string,
+    after: Revision,
+    waitMs: number,
+    signal?: AbortSignal,
+  ) => Promise<WatchOutcome>;
   readonly commit: (transaction: Transaction) => Promise<CommitOutcome>;
   readonly grantLease: (ttlMs: number) => Promise<Either<Failure, LeaseId>>;
   /** False if the lease has ended. */
--- a/packages/gateway/src/node-message.test.ts
+++ b/packages/gateway/src/node-message.test.ts
@@ -44,6 +44,7 @@
   rows: [{ node: 'n1', topic: 'usage', fields: [7, ['a', 3]] }],
   alive: ['n1', 'n2'],
   revision: 9,
+  storeAvailableForMs: 1200,
 };
 
 const overWire = (message: unknown): unknown => new Decoder().decode(new Encoder().encode(message));
--- a/packages/gateway/src/node-message.ts
+++ b/packages/gateway/src/node-message.ts
@@ -100,6 +100,11 @@
       readonly revision: number;
       /** Digest of what the sender holds of the store; equal if two nodes hold the same. */
       readonly digest?: number;
+      /**
+       * For how long the sender knows, by its own calls, that the store had no outage. Undefined for a
+       * node of an earlier version.
+       */
+      readonly storeAvailableForMs?: number;
     })
   /** Requests the store changes after a revision. */
   | { readonly kind: 'pull'; readonly after: number }
@@ -275,6 +280,9 @@
   ...(fields.alive === undefined ? {} : { alive: toRow(fields.alive).map(toText) }),
   revision: toNumber(fields.revision),
   ...(fields.digest === undefined ? {} : { digest: toNumber(fields.digest) }),
+  ...(fields.storeAvailableForMs === undefined
+    ? {}
+    : { storeAvailableForMs: toNumber(fields.storeAvailableForMs) }),
 });
 
 const toRareMessage = (document: unknown): NodeMessage | undefined => {
--- a/packages/gateway/src/node-peers.ts
+++ b/packages/gateway/src/node-peers.ts
@@ -30,6 +30,10 @@
   readonly mirror: () => StoreMirror;
   /** Services of which this node reaches no upstream. */
   readonly cutOffServices: () => readonly string[];
+  /** For how long this node knows that the store had no outage. */
+  readonly storeAvailableForMs: () => number;
+  /** Called when a neighbour states for how long it knows that the store had no outage. */
+  readonly onStoreAvailable: (node: string, availableForMs: number) => void;
   /** Called with a load that another node has read, and the time of reading. */
   readonly onLoad: (upstream: string, load: EngineLoad, readAtMs: number) => void;
   /** Called when another node has announced its use of upstreams. */
@@ -185,6 +189,7 @@
       storeAccess: () => options.mirror().storeAccess(),
       revision: () => options.mirror().revision(),
       digest: () => options.mirror().digest(),
+      storeAvailableForMs: options.storeAvailableForMs,
       onState: ({ node, uses }) => {
         peerUse.update(node, uses);
         options.onPeerUse(node, uses);
@@ -234,6 +239,9 @@
       switch (message.kind) {
         case 'state':
           broadcast.receive(node, message);
+          if (message.storeAvailableForMs !== undefined) {
+            options.onStoreAvailable(node, message.storeAvailableForMs);
+          }
           changeRelay.pullIfBehind(node, message.revision);
           if (message.digest !== undefined) {
             divergence.compare({
--- a/packages/gateway/src/peer-broadcast.test.ts
+++ b/packages/gateway/src/peer-broadcast.test.ts
@@ -103,6 +103,7 @@
         storeAccess: () => 'fed',
         revision: () => 1,
         digest: () => 0,
+        storeAvailableForMs: () => 0,
         onState: (state) => {
           memoryTokensByPair.set(`${node} ${state.node}`, state.uses[0]?.memoryTokens ?? 0);
         },
--- a/packages/gateway/src/peer-broadcast.ts
+++ b/packages/gateway/src/peer-broadcast.ts
@@ -37,6 +37,8 @@
   readonly revision: () => number;
   /** Digest of the store's entries that this node holds. */
   readonly digest: () => number;
+  /** For how long this node knows that the store had no outage. */
+  readonly storeAvailableForMs: () => number;
   /** Called with each newer state of another node. */
   readonly onState: (state: NodeState) => void;
   /** Called with a load that another node has read, and the time of reading. */
@@ -147,6 +149,7 @@
         ...(aliveList === undefined ? {} : { alive: aliveList }),
         revision: options.revision(),
         digest: options.digest(),
+        storeAvailableForMs: Math.floor(options.storeAvailableForMs()),
       });
     };
 
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -46,6 +46,8 @@
   readonly nodeLeaseMs: number;
   /** Time after a store outage within which expired registrations are written again. */
   readonly reregistrationWindowMs: number;
+  /** Shortest store outage in which the registration of an upstream that is alive can expire. */
+  readonly minExpiryOutageMs: number;
   /**
    * Time after which the store has removed registrations that a restore brought back, if nobody
    * renews them.
--- a/packages/gateway/src/store-mirror.test.ts
+++ b/packages/gateway/src/store-mirror.test.ts
@@ -1,13 +1,17 @@
 import { VirtualClock } from '@zinniagrade/clock';
+import { Failure } from '@zinniagrade/errors';
 import { expect } from 'chai';
 import { Right } from 'purify-ts';
 import { Log } from './log.js';
 import type { MetadataStore, StoreEvent, WatchOutcome } from './metadata-store.js';
 import type { RelayedChange } from './node-message.js';
+import { observeStore } from './observed-store.js';
 import { StoreMirror } from './store-mirror.js';
+import { StoreOutages } from './store-outages.js';
 
 interface Fixture {
   readonly mirror: StoreMirror;
+  readonly outages: StoreOutages;
   readonly watches: readonly number[];
   /** Number of times that all entries were read. */
   readonly lists: () => number;
@@ -17,9 +21,19 @@
   readonly setWatchesStore: (follows: boolean) => void;
   /** Advances the clock in steps and runs all due timers and pending promises. */
   readonly advance: (ms: number) => Promise<void>;
+  /** Answers another call to the store, such as the renewal of a lease. */
+  readonly answerOtherCall: (isAnswered: boolean) => void;
 }
 
 const stepMs = 10;
+const reregistrationWindowMs = 2300;
+/** Two heartbeats of 1.2 s. */
+const minOutageMs = 2400;
+
+const unavailable: WatchOutcome = {
+  outcome: 'unavailable',
+  failure: Failure.create('store-unavailable', 'no answer'),
+};
 
 const createFixture = (): Fixture => {
   const clock = VirtualClock.create();
@@ -38,10 +52,13 @@
       const items = [{ key: 'a', value: Buffer.from('1'), revision: 5 }];
       return Promise.resolve(Right({ items, revision: 7 }));
     },
-    watch: (_prefix, after) => {
+    watch: (_prefix, after, _waitMs, signal) => {
       watches.push(after);
       return new Promise((resolve) => {
         answer = resolve;
+        signal?.addEventListener('abort', () => {
+          resolve(unavailable);
+        });
       });
     },
     commit: unused,
@@ -50,13 +67,24 @@
     revokeLease: unused,
     close: () => undefined,
   };
-  const mirror = StoreMirror.create(store, clock, Log.createSilent(), {
+  const outages = StoreOutages.create(clock, Log.createSilent(), {
+    minOutageMs,
+    onRuledOut: () => {
+      mirror.onOutageRuledOut();
+    },
+  });
+  const observed = observeStore(store, clock, {
+    onAnswered: outages.recordAnswer,
+    onFailed: outages.recordFailure,
+  });
+  const mirror = StoreMirror.create(observed, clock, Log.createSilent(), {
     prefix: '',
     onChange: (key, value) => {
       changes.push(`${key}=${value === undefined ? 'removed' : value.toString()}`);
     },
-    delaysRemovalAfterOutage: () => false,
-    reregistrationWindowMs: 2300,
+    delaysRemovalAfterOutage: () => true,
+    reregistrationWindowMs,
+    outages,
     restoredEntryLapseMs: 6000,
     decideRestoredEntry: () => 'apply',
     onEntryLost: () => undefined,
@@ -72,6 +100,7 @@
     });
   return {
     mirror,
+    outages,
     watches,
     lists: () => lists,
     answerWatch: (outcome) => {
@@ -89,6 +118,14 @@
         await settle();
       }
     },
+    answerOtherCall: (isAnswered) => {
+      if (isAnswered) {
+        outages.recordAnswer(clock.monotonicMs());
+      } else {
+        outages.recordFailure();
+        mirror.checkWatch();
+      }
+    },
   };
 };
 
@@ -186,4 +223,115 @@
     fixture.mirror.mergeFromNode({ items: [item], after: 0, revision: 12 });
     expect(fixture.mirror.isComplete()).to.equal(true);
   });
+
+  describe('with an entry that is missing', () => {
+    const removal = { key: 'a', revision: 9 };
+    const retryMs = 120;
+
+    /** The store answers nothing for a time, and then a watch with the removal of the entry. */
+    const lapseInOutage = async (fixture: Fixture, outageMs: number): Promise<void> => {
+      fixture.answerWatch(unavailable);
+      for (let passedMs = 0; passedMs < outageMs; passedMs += 100) {
+        await fixture.advance(100);
+        fixture.answerWatch(unavailable);
+      }
+      await fixture.advance(1000);
+      fixture.answerWatch(eventsUpTo(9, [removal]));
+      await fixture.advance(stepMs);
+    };
+
+    it('uses it no longer if its watch was only cut', async () => {
+      // Guards against requests to an upstream that has left, as any failed watch was an outage.
+      const fixture = createFixture();
+      await fixture.advance(1000);
+      for (let cut = 0; cut < 10; cut += 1) {
+        fixture.answerWatch(unavailable);
+        await fixture.advance(retryMs);
+        fixture.answerWatch(eventsUpTo(8, []));
+        await fixture.advance(400);
+      }
+      fixture.answerWatch(unavailable);
+      await fixture.advance(retryMs);
+      fixture.answerWatch(eventsUpTo(9, [removal]));
+      await fixture.advance(stepMs);
+      expect(fixture.changes).to.deep.equal(['a=1', 'a=removed']);
+    });
+
+    it('uses it no longer if the store has answered other calls while its watch was silent', async () => {
+      // Guards against a connection that falls silent and is taken for an outage of the store.
+      const fixture = createFixture();
+      for (let second = 0; second < 5; second += 1) {
+        fixture.answerOtherCall(true);
+        await fixture.advance(1000);
+      }
+      fixture.answerWatch(unavailable);
+      await fixture.advance(retryMs);
+      fixture.answerWatch(eventsUpTo(9, [removal]));
+      await fixture.advance(stepMs);
+      expect(fixture.changes).to.deep.equal(['a=1', 'a=removed']);
+    });
+
+    it('keeps it after an outage until its owner had time to write it again', async () => {
+      // Guards against upstreams that are taken for gone when their entries lapse in an outage.
+      const fixture = createFixture();
+      await fixture.advance(1000);
+      await lapseInOutage(fixture, 3000);
+      await fixture.advance(reregistrationWindowMs - 100);
+      expect(fixture.changes).to.deep.equal(['a=1']);
+      fixture.answerWatch(eventsUpTo(12, [{ key: 'a', revision: 12, value: Buffer.from('2') }]));
+      await fixture.advance(reregistrationWindowMs);
+      expect(fixture.changes).to.deep.equal(['a=1', 'a=2']);
+    });
+
+    it('counts the time to write it again from the first answer after an outage', async () => {
+      // Guards against a hold that is counted from the call that noticed the outage.
+      const fixture = createFixture();
+      await fixture.advance(1000);
+      fixture.answerWatch(unavailable);
+      await fixture.advance(3000);
+      fixture.answerOtherCall(true);
+      await fixture.advance(2000);
+      fixture.answerWatch(eventsUpTo(9, [removal]));
+      await fixture.advance(200);
+      expect(fixture.changes).to.deep.equal(['a=1']);
+      await fixture.advance(reregistrationWindowMs - 2200);
+      expect(fixture.changes).to.deep.equal(['a=1', 'a=removed']);
+    });
+
+    it('uses it no longer once another node shows that the store had no outage', async () => {
+      // Guards against a node that was cut off, and sends requests to upstreams that left meanwhile.
+      const fixture = createFixture();
+      await fixture.advance(1000);
+      await lapseInOutage(fixture, 3000);
+      fixture.outages.receive('n2', 2500);
+      expect(fixture.changes).to.deep.equal(['a=1']);
+      fixture.outages.receive('n3', 60_000);
+      expect(fixture.changes).to.deep.equal(['a=1', 'a=removed']);
+    });
+
+    it('keeps it for its time after a restore, whatever other nodes state', async () => {
+      // Guards against entries that a restore has lost, and that others can't vouch for.
+      const fixture = createFixture();
+      await fixture.advance(1000);
+      fixture.outages.recordRestore();
+      fixture.outages.receive('n2', 60_000);
+      fixture.answerWatch(eventsUpTo(9, [removal]));
+      await fixture.advance(reregistrationWindowMs - 100);
+      expect(fixture.changes).to.deep.equal(['a=1']);
+    });
+
+    it('asks again on another connection when another call has failed', async () => {
+      // Guards against a silent connection that delays changes until the watch times out.
+      const fixture = createFixture();
+      await fixture.advance(1000);
+      expect(fixture.watches).to.deep.equal([7]);
+      fixture.answerOtherCall(false);
+      await fixture.advance(stepMs);
+      expect(fixture.watches).to.deep.equal([7, 7]);
+      fixture.answerWatch(eventsUpTo(9, [removal]));
+      await fixture.advance(stepMs);
+      expect(fixture.changes).to.deep.equal(['a=1', 'a=removed']);
+      expect(fixture.mirror.storeAccess()).to.equal('watching');
+    });
+  });
 });
--- a/packages/gateway/src/store-mirror.ts
+++ b/packages/gateway/src/store-mirror.ts
@@ -6,6 +6,7 @@
 import { MirrorItems } from './mirror-items.js';
 import type { ChangeSet, RelayedChange, StoreAccess } from './node-message.js';
 import type { RestoredEntryDecision } from './restored-entry.js';
+import type { StoreOutages } from './store-outages.js';
 
 /** Prefix to mirror, and callbacks. */
 export interface MirrorOptions {
@@ -19,6 +20,7 @@
   readonly delaysRemovalAfterOutage: (key: string) => boolean;
   /** Delay of such removals, counted from the end of the outage. */
   readonly reregistrationWindowMs: number;
+  readonly outages: Pick<StoreOutages, 'returnedAtMs' | 'recordRestore'>;
   /** Decides on an entry that a restored store has in another state; undefined means no entry. */
   readonly decideRestoredEntry: (
     key: string,
@@ -69,6 +71,13 @@
   /** Reads all entries again, as this node holds others than the store. */
   readonly readAgain: () => void;
   readonly storeAccess: () => StoreAccess;
+  /**
+   * To be called when a call to the store has failed: a watch that waits is sent again on another
+   * connection, as its own may be dead too.
+   */
+  readonly checkWatch: () => void;
+  /** To be called when an outage of the store turns out to have been none. */
+  readonly onOutageRuledOut: () => void;
   readonly stop: () => void;
 }
 
@@ -76,8 +85,13 @@
 const watchTimeoutMs = 3000;
 const initialRetryDelayMs = 100;
 const maxRetryDelayMs = 800;
-/** After an outage a watch returns at once, as its reply tells whether the store was restored. */
+/**
+ * After a failure a watch returns at once, as its reply tells whether the store is there, and whether
+ * it was restored.
+ */
 const firstWatchTimeoutMs = 1;
+/** Bounds the calls of nodes whose other calls fail again and again, as when the store refuses them. */
+const minWatchCheckIntervalMs = 2000;
 /** Interval at which a node that doesn't watch the store checks whether it should. */
 const relayCheckIntervalMs = 300;
 
@@ -89,9 +103,12 @@
     let complete = false;
     let stopped = false;
     let unavailableSinceMs: number | undefined;
-    let availableAgainAtMs = -Infinity;
     let retryDelayMs = initialRetryDelayMs;
     let watching = false;
+    /** Ends the watch that waits for changes. */
+    let waitingWatch: AbortController | undefined;
+    let wasInterrupted = false;
+    let watchCheckedAtMs = -Infinity;
     /** Whether a node that is fed by others has to read from the store itself. */
     let mustRead = false;
     let mustList = false;
@@ -138,9 +155,14 @@
     });
 
     const applyRemoval = (key: string, revision: Revision): boolean => {
-      const waitMs = availableAgainAtMs + options.reregistrationWindowMs - clock.monotonicMs();
+      const { outages, reregistrationWindowMs } = options;
+      const returnedAtMs = outages.returnedAtMs();
+      const waitMs =
+        returnedAtMs === undefined
+          ? 0
+          : returnedAtMs + reregistrationWindowMs - clock.monotonicMs();
       if (waitMs > 0 && options.delaysRemovalAfterOutage(key)) {
-        held.hold({ key, revision }, waitMs);
+        held.hold({ key, revision }, waitMs, () => outages.returnedAtMs() !== undefined);
         return false;
       }
       return remove(key, revision);
@@ -157,9 +179,8 @@
       if (unavailableSinceMs === undefined) {
         return;
       }
-      availableAgainAtMs = clock.monotonicMs();
       log.event('store available again', {
-        awayMs: Math.round(availableAgainAtMs - unavailableSinceMs),
+        awayMs: Math.round(clock.monotonicMs() - unavailableSinceMs),
       });
       unavailableSinceMs = undefined;
     };
@@ -231,6 +252,7 @@
         .map((key) => ({ key, revision }));
       if (complete && Revision.eraOf(revision) > Revision.eraOf(knownRevision)) {
         log.event('store restored', { revision, before: knownRevision });
+        options.outages.recordRestore();
       }
       const before = knownRevision;
       const newChanges = applyAll(settleListed([...items, ...removals]));
@@ -246,9 +268,16 @@
     };
 
     const watchFrom = async (after: Revision): Promise<void> => {
-      const isFirst = unavailableSinceMs !== undefined;
+      const isFirst = unavailableSinceMs !== undefined || wasInterrupted;
       const waitMs = isFirst || mustRead ? firstWatchTimeoutMs : watchTimeoutMs;
-      const outcome = await store.watch(options.prefix, after, waitMs);
+      const aborter = new AbortController();
+      waitingWatch = waitMs === watchTimeoutMs ? aborter : undefined;
+      const outcome = await store.watch(options.prefix, after, waitMs, aborter.signal);
+      waitingWatch = undefined;
+      wasInterrupted = aborter.signal.aborted && outcome.outcome === 'unavailable';
+      if (wasInterrupted) {
+        return;
+      }
       switch (outcome.outcome) {
         case 'events': {
           recordAvailable();
@@ -337,6 +366,14 @@
       },
       storeAccess: () =>
         unavailableSinceMs !== undefined ? 'lost' : watching ? 'watching' : 'fed',
+      checkWatch: () => {
+        const nowMs = clock.monotonicMs();
+        if (waitingWatch !== undefined && nowMs - watchCheckedAtMs >= minWatchCheckIntervalMs) {
+          watchCheckedAtMs = nowMs;
+          waitingWatch.abort();
+        }
+      },
+      onOutageRuledOut: held.recheck,
       stop: () => {
         stopped = true;
       },
