Give no port twice to a test process before it listens

Found on the way: findFreePort chose at random and remembered nothing, so that one process was given the same port twice in 48 of 1,000 choices. A fixture whose node has two equal ports never starts (shown with such a fixture), as the node tries for as long as the address is taken.

Ports that were given out lately are now left out. The new test failed before (952 different ports of 1,000) and passes now.

--- a/packages/free-ports/src/find-free-port.test.ts
+++ b/packages/free-ports/src/find-free-port.test.ts
@@ -26,4 +26,14 @@
     });
     server.close();
   });
+
+  it('returns no port twice while nothing listens on it yet', async () => {
+    // Guards against two servers of one process that are to listen on the same port.
+    const count = 1000;
+    const ports = new Set<number>();
+    for (let found = 0; found < count; found += 1) {
+      ports.add(await findFreePort(host));
+    }
+    expect(ports.size).to.equal(count);
+  });
 });
--- a/packages/free-ports/src/find-free-port.ts
+++ b/packages/free-ports/src/find-free-port.ts
@@ -8,6 +8,20 @@
 export const portRangeStart = 20_000;
 export const portRangeEnd = 32_000;
 const maxAttempts = 100;
+/** Ports that are given out together are in use, or free again, long before so many others are. */
+const maxRemembered = 2000;
+/** Ports that were given out last, which their processes may not listen on yet. */
+const givenOut = new Set<number>();
+
+const remember = (port: number): void => {
+  givenOut.add(port);
+  for (const oldest of givenOut) {
+    if (givenOut.size <= maxRemembered) {
+      break;
+    }
+    givenOut.delete(oldest);
+  }
+};
 
 const isFree = (host: string, port: number): Promise<boolean> =>
   new Promise((resolve) => {
@@ -22,10 +36,17 @@
     });
   });
 
-/** Finds a port on which nothing listens; rejects if none of 100 random ports is free. */
+/**
+ * Finds a port on which nothing listens, and that this process was not given lately; rejects if none
+ * of 100 random ports is free.
+ */
 export const findFreePort = async (host: string): Promise<number> => {
   for (let attempts = 0; attempts < maxAttempts; attempts += 1) {
     const port = randomInt(portRangeStart, portRangeEnd);
+    if (givenOut.has(port)) {
+      continue;
+    }
+    remember(port);
     if (await isFree(host, port)) {
       return port;
     }
