--- a/review/lib-3/system.mjs
+++ b/review/lib-3/system.mjs
@@ -13,15 +13,30 @@
 const host = 'case.example';
 const key = 'key-1';
 
-const findPort = () =>
+/** Ports that systems don't give to outgoing connections; a port is given out once. */
+const firstPort = 15_000;
+const portCount = 15_000;
+const takenPorts = new Set();
+
+const canListen = (ip, port) =>
   new Promise((resolve) => {
     const server = createServer();
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address();
-      server.close(() => resolve(port));
+    server.once('error', () => resolve(false));
+    server.listen(port, ip, () => {
+      server.close(() => resolve(true));
     });
   });
 
+const findPort = async (ip) => {
+  for (;;) {
+    const port = firstPort + Math.floor(Math.random() * portCount);
+    if (!takenPorts.has(port) && (await canListen(ip, port))) {
+      takenPorts.add(port);
+      return port;
+    }
+  }
+};
+
 const bounds = {
   seed_lag_s: 3,
   reuse_after_s: 2,
@@ -107,6 +122,17 @@
   const startedAtMs = Date.now();
   const children = new Set();
   const lines = [];
+  const killAll = () => {
+    for (const child of children) {
+      child.kill('SIGKILL');
+    }
+  };
+  for (const signal of ['SIGINT', 'SIGTERM']) {
+    process.once(signal, () => {
+      killAll();
+      process.exit(2);
+    });
+  }
   const store = await startStore();
   const note = (text) => {
     lines.push(`${((Date.now() - startedAtMs) / 1000).toFixed(3).padStart(8)}  ${text}`);
@@ -152,11 +178,11 @@
   const startGateway = async (name, ip, zone) => {
     const ports = [];
     for (let index = 0; index < 4; index += 1) {
-      ports.push(await findPort());
+      ports.push(await findPort(ip));
     }
     const [front, ready, directory, first] = ports;
     const file = join(folder, `${name}.json`);
-    const metrics = await findPort();
+    const metrics = await findPort(ip);
     writeFileSync(
       file,
       JSON.stringify({
@@ -239,9 +265,7 @@
     close: async (summary) => {
       note(summary);
       writeFileSync(recordFile, `${lines.join('\n')}\n`);
-      for (const child of children) {
-        child.kill('SIGKILL');
-      }
+      killAll();
       store.close();
       await sleep(200);
       rmSync(folder, { recursive: true, force: true });
